--- /dev/null
+++ b/cloud/cloud.go
@@ -0,0 +1,130 @@
+// Package cloud is the paced client of the machine rental.
+package cloud
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/url"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"junipershelf/internal/wire"
+	"junipershelf/protocol"
+	"junipershelf/settings"
+)
+
+// ErrNoCapacity says that nothing of the kind is to be had; ErrRefused that the
+// call was not carried out; ErrUnknown that nobody knows.
+var (
+	ErrNoCapacity = errors.New("no capacity")
+	ErrRefused    = errors.New("cloud refused")
+	ErrUnknown    = wire.ErrUnknown
+)
+
+// Client calls the cloud within a node's share of its limit.
+type Client struct {
+	call *wire.Client
+	pace *rate.Limiter
+}
+
+// Timeout is how long a call may take.
+const Timeout = 4 * time.Second
+
+// MaxHire and MaxReturn bound one request.
+const (
+	MaxHire   = 50
+	MaxReturn = 100
+)
+
+// New makes a client.
+func New(addr string, lim settings.CloudLimits) *Client {
+	return &Client{call: wire.New(addr, 8), pace: rate.NewLimiter(rate.Limit(lim.RPS*0.45), max(1, int(lim.RPS*0.5)))}
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body, out any) (int, error) {
+	if err := c.pace.Wait(ctx); err != nil {
+		return 0, fmt.Errorf("%w: %v", ErrRefused, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, Timeout)
+	defer cancel()
+	code, err := c.call.Call(ctx, method, path, body, out)
+	switch {
+	case err != nil:
+		return 0, err
+	case code == 200 || code == 503 && path == "/machines":
+		return code, nil
+	case code == 429 || code == 503 || code == 400:
+		return code, fmt.Errorf("%w: %d", ErrRefused, code)
+	}
+	return code, fmt.Errorf("%w: status %d", ErrUnknown, code)
+}
+
+// Flavors reads the catalogue.
+func (c *Client) Flavors(ctx context.Context) ([]protocol.Flavor, error) {
+	var f protocol.Flavors
+	_, err := c.do(ctx, "GET", "/flavors", nil, &f)
+	return f.Flavors, err
+}
+
+// Hire rents machines. A name that was given a 200 once rents nothing more.
+func (c *Client) Hire(ctx context.Context, h protocol.Hire) ([]string, error) {
+	raw, err := protocol.Marshal(h)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.pace.Wait(ctx); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrRefused, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, Timeout)
+	defer cancel()
+	code, reply, err := c.call.Raw(ctx, "POST", "/machines", "application/cbor", raw)
+	if err != nil {
+		return nil, err
+	}
+	switch code {
+	case 200:
+		var hosts protocol.Hosts
+		if err := protocol.Unmarshal(reply, &hosts); err != nil {
+			return nil, fmt.Errorf("%w: malformed answer", ErrUnknown)
+		}
+		return hosts.Hosts, nil
+	case 503:
+		var p protocol.Problem
+		if protocol.Unmarshal(reply, &p) == nil && p.Error == "no capacity" {
+			return nil, ErrNoCapacity
+		}
+		return nil, ErrRefused
+	case 429, 400:
+		return nil, fmt.Errorf("%w: %d", ErrRefused, code)
+	}
+	return nil, fmt.Errorf("%w: status %d", ErrUnknown, code)
+}
+
+// Return gives machines back. After nil they and all on them are gone.
+func (c *Client) Return(ctx context.Context, hosts []string) error {
+	_, err := c.do(ctx, "POST", "/machines/return", protocol.Hosts{Hosts: hosts}, nil)
+	return err
+}
+
+// List reads the whole machine list.
+func (c *Client) List(ctx context.Context) ([]protocol.Host, error) {
+	var all []protocol.Host
+	since := ""
+	for {
+		path := "/machines?most=500"
+		if since != "" {
+			path += "&since=" + url.QueryEscape(since)
+		}
+		var page protocol.HostList
+		if _, err := c.do(ctx, "GET", path, nil, &page); err != nil {
+			return nil, err
+		}
+		all = append(all, page.Hosts...)
+		if !page.HasNext || len(page.Hosts) == 0 {
+			return all, nil
+		}
+		since = page.Hosts[len(page.Hosts)-1].UID
+	}
+}
--- /dev/null
+++ b/controller/controller.go
@@ -0,0 +1,550 @@
+// Package controller puts the parts of a node together: the wanted state comes
+// from the pure deciders, and its loops work out the difference to what is.
+package controller
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"junipershelf/cloud"
+	"junipershelf/divide"
+	"junipershelf/fleet"
+	"junipershelf/front"
+	"junipershelf/job"
+	"junipershelf/part"
+	"junipershelf/peer"
+	"junipershelf/policy"
+	"junipershelf/protocol"
+	"junipershelf/roster"
+	"junipershelf/settings"
+	"junipershelf/state"
+)
+
+// Controller is one node.
+type Controller struct {
+	set    *settings.Settings
+	pol    *policy.Policy
+	log    *slog.Logger
+	store  *state.Client
+	cloud  *cloud.Client
+	roster *roster.Roster
+	peers  map[string]*peer.Client
+	teams  map[string]int
+	lease  time.Duration // of a worker, with drift and margin
+
+	mu      sync.Mutex
+	mirror  *job.Mirror
+	view    roster.View
+	index   int
+	part    *part.Part      // nil while a view is being read
+	div     *divide.Divider // nil on all but the divider
+	plan    *fleet.Planner
+	flavors map[string]protocol.Flavor
+	finals  map[string]job.Ended
+	running map[string]int
+	waiting map[string]bool // machines whose report waits for a commit
+	dirty   chan struct{}
+	settled chan struct{} // closed and renewed after each commit
+	loaded  chan struct{} // closed when a part has been read
+	leave   []string
+	drop    []string
+	hireNo  int
+	peerUp  map[string]peerState
+	strays  map[string]time.Time // workers of others that were sent to their owner
+	said    map[string]int
+}
+
+type peerState struct {
+	at      time.Time // last answer
+	stateMS int64
+}
+
+// New makes a node.
+func New(set *settings.Settings, pol *policy.Policy, log *slog.Logger) *Controller {
+	f := set.Facts
+	c := &Controller{set: set, pol: pol, log: log, store: state.New(set.Outside.State, f.State),
+		cloud: cloud.New(set.Outside.Cloud, f.Cloud), peers: map[string]*peer.Client{}, teams: map[string]int{},
+		flavors: map[string]protocol.Flavor{}, finals: map[string]job.Ended{}, running: map[string]int{},
+		waiting: map[string]bool{}, dirty: make(chan struct{}, 1), settled: make(chan struct{}),
+		loaded: make(chan struct{}), peerUp: map[string]peerState{}, strays: map[string]time.Time{}, said: map[string]int{}}
+	for i, t := range f.Teams {
+		c.teams[t.Name] = i
+	}
+	for _, p := range set.Known {
+		c.peers[p.NodeName] = peer.NewClient(p.Addr)
+	}
+	c.mirror = job.NewMirror(c.teams)
+	l := f.Workers.LeaseS
+	// Steady clocks drift apart by up to 0.05% each way; half a second covers
+	// timers that fire late.
+	c.lease = settings.Seconds(l*1.002 + 0.5)
+	c.roster = roster.New(set.NodeName, c.store, roster.Times{
+		Life:      settings.Seconds(max(l*pol.GrantPart, 1)),
+		Authority: settings.Seconds(l * pol.AuthorityPart),
+		Every:     500 * time.Millisecond,
+	}, log)
+	c.plan = c.newPlanner()
+	return c
+}
+
+func (c *Controller) newPlanner() *fleet.Planner {
+	p := fleet.New(fleet.Config{
+		Horizon: settings.Seconds(c.pol.HorizonS), Idle: settings.Seconds(c.pol.IdleS),
+		BootFactor: c.pol.BootFactor, BootSlack: settings.Seconds(c.pol.BootSlackS),
+		Retry: settings.Seconds(c.pol.RefusalS), OrdinaryRank: c.pol.OrdinaryRank,
+		OrdinaryWait: settings.Seconds(c.pol.OrdinaryWaitS), ListLag: settings.Seconds(c.set.Facts.Cloud.ListLagS),
+		Silent: 2 * c.lease,
+	})
+	for _, f := range c.flavors {
+		p.Flavors = append(p.Flavors, f)
+	}
+	return p
+}
+
+func (c *Controller) caps(flavor string) (job.Need, bool) {
+	f, ok := c.flavors[flavor]
+	return fleet.Cap(&f), ok
+}
+
+// Run serves until the context ends or a listener fails.
+func (c *Controller) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, s := range []struct {
+		addr string
+		h    http.Handler
+		most int
+	}{{c.set.Front, front.Handler(c), c.set.Facts.Resources.MaxSockets * 3 / 4}, {c.set.Internal, peer.Handler(c), c.set.Facts.Resources.MaxSockets / 10}} {
+		l, err := net.Listen("tcp4", s.addr)
+		if err != nil {
+			return err
+		}
+		srv := &http.Server{Handler: s.h, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 15 * time.Second,
+			WriteTimeout: 15 * time.Second, IdleTimeout: 60 * time.Second, MaxHeaderBytes: 8 << 10,
+			ErrorLog: slog.NewLogLogger(c.log.Handler(), slog.LevelDebug)}
+		ll := &limited{Listener: l, slots: make(chan struct{}, max(s.most, 8))}
+		g.Go(func() error { return srv.Serve(ll) })
+		g.Go(func() error { <-ctx.Done(); return srv.Close() })
+	}
+	for _, loop := range []func(context.Context){c.roster.Run, c.viewLoop, c.mirrorLoop, c.tickLoop, c.commitLoop,
+		c.syncLoop, c.divideLoop, c.hireLoop, c.returnLoop, c.flavorLoop, c.listLoop, c.pingLoop} {
+		g.Go(func() error { loop(ctx); return ctx.Err() })
+	}
+	return g.Wait()
+}
+
+// limited accepts no more connections than it has slots for, so that the
+// process keeps sockets for its own calls.
+type limited struct {
+	net.Listener
+	slots chan struct{}
+}
+
+func (l *limited) Accept() (net.Conn, error) {
+	l.slots <- struct{}{}
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &held{Conn: conn, free: sync.OnceFunc(func() { <-l.slots })}, nil
+}
+
+type held struct {
+	net.Conn
+	free func()
+}
+
+func (h *held) Close() error {
+	defer h.free()
+	return h.Conn.Close()
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func poke(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// viewLoop reads the records of each new view and sets its part up.
+func (c *Controller) viewLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.roster.Changed():
+		case <-time.After(time.Second):
+		}
+		view, me, seen := c.roster.Now()
+		c.mu.Lock()
+		same := view.Number == c.view.Number && (c.part != nil || c.index < 0)
+		if !same {
+			// A view change voids every queue.
+			c.part, c.div = nil, nil
+			c.view, c.index = view, view.Index(me)
+			select {
+			case <-c.loaded:
+				c.loaded = make(chan struct{})
+			default:
+			}
+		}
+		c.mu.Unlock()
+		if same || view.Index(me) < 0 {
+			continue
+		}
+		if err := c.load(ctx, view, seen); err != nil {
+			c.log.Debug("reading a view's records failed", "view", view.Number, "err", err)
+			if !sleep(ctx, 200*time.Millisecond) {
+				return
+			}
+			// The next turn tries again.
+			c.mu.Lock()
+			c.view.Number = 0
+			c.mu.Unlock()
+		}
+	}
+}
+
+func (c *Controller) load(ctx context.Context, view roster.View, seen time.Time) error {
+	if err := c.relist(ctx); err != nil {
+		return err
+	}
+	entries, _, err := c.store.List(ctx, state.Roster, part.RecordPrefix)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.view.Number != view.Number {
+		return nil
+	}
+	f := c.set.Facts
+	p := part.New(part.Config{
+		Lease: c.lease, Authority: c.roster.Times().Authority, Report: settings.Seconds(f.Workers.ReportS),
+		Stale: settings.Seconds(c.pol.StaleS), Buddies: c.pol.Buddies, Threshold: c.pol.Threshold,
+		LocalWait:  settings.Seconds(c.pol.LocalWaitS),
+		SilentAway: settings.Seconds(f.Workers.LeaseS * c.pol.SilentPart),
+		TxnOps:     f.State.TxnOps, ValueBytes: c.store.ValueBytes(),
+	}, view.Number, c.index, seen, c.caps, c.mirror)
+	shadows := make([]*part.Part, len(view.Members))
+	for i := range shadows {
+		shadows[i] = part.New(part.Config{}, view.Number, i, seen, c.caps, c.mirror)
+	}
+	for _, e := range entries {
+		var rec part.Record
+		if err := protocol.Unmarshal(e.Data, &rec); err != nil {
+			return err
+		}
+		id := e.Key[len(part.RecordPrefix):]
+		o := view.OwnerOf(id)
+		if o == c.index {
+			p.Load(id, rec, e.Stamp, now)
+		}
+		shadows[o].Load(id, rec, e.Stamp, now)
+	}
+	if c.index == 0 {
+		teams := make([]divide.Team, len(f.Teams))
+		for i, t := range f.Teams {
+			teams[i] = divide.Team{Name: t.Name, Guarantee: job.Need{CPUs: t.CPUs, Acc: t.GPUs},
+				Limit: job.Need{CPUs: t.CPUsMax, Acc: t.GPUsMax}, Weight: c.pol.TeamWeights[t.Name]}
+		}
+		c.div = divide.New(divide.Config{
+			Backlog: c.pol.Backlog, Aging: settings.Seconds(c.pol.AgingS), FaultPause: settings.Seconds(c.pol.FaultPauseS),
+			FaultMax: settings.Seconds(c.pol.FaultMaxS), SickAfter: c.pol.SickAfter, ValueBytes: c.store.ValueBytes(),
+		}, teams, len(view.Members), c.caps, c.mirror)
+		for i, s := range shadows {
+			c.div.Inherit(i, s.Digest(now))
+		}
+		c.plan = c.newPlanner()
+	}
+	c.part = p
+	close(c.loaded)
+	c.log.Info("part taken", "view", view.Number, "index", c.index, "machines", len(entries), "divider", c.index == 0)
+	return nil
+}
+
+// relist reads all live jobs anew.
+func (c *Controller) relist(ctx context.Context) error {
+	_, err := c.listJobs(ctx)
+	return err
+}
+
+func (c *Controller) listJobs(ctx context.Context) (uint64, error) {
+	sent := time.Now()
+	entries, epoch, err := c.store.List(ctx, state.Roster, job.Key(""))
+	if err != nil {
+		return 0, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	in := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		uid := e.Key[len(job.Key("")):]
+		in[uid] = true
+		c.takeJob(uid, e.Data, e.Stamp, now)
+	}
+	for uid, l := range c.mirror.Jobs {
+		if !in[uid] && l.Stamp <= epoch {
+			c.mirror.Drop(uid, now)
+		}
+	}
+	c.mirror.Refreshed(sent)
+	return epoch, nil
+}
+
+func (c *Controller) takeJob(uid string, data []byte, stamp uint64, now time.Time) {
+	var rec job.Record
+	err := protocol.Unmarshal(data, &rec)
+	if err == nil {
+		err = c.mirror.Set(uid, rec, stamp, now)
+	}
+	if err != nil {
+		c.log.Error("job record cannot be read", "job", uid, "err", err)
+	}
+}
+
+// mirrorLoop keeps the mirror of the live jobs fresh with a watch.
+func (c *Controller) mirrorLoop(ctx context.Context) {
+	var epoch uint64
+	for ctx.Err() == nil {
+		if epoch == 0 {
+			var err error
+			if epoch, err = c.listJobs(ctx); err != nil {
+				epoch = 0
+				sleep(ctx, 300*time.Millisecond)
+				continue
+			}
+		}
+		sent := time.Now()
+		r, err := c.store.Watch(ctx, job.Key(""), epoch, 2*time.Second)
+		if err != nil {
+			if err == state.ErrGone {
+				epoch = 0
+			}
+			sleep(ctx, 250*time.Millisecond)
+			continue
+		}
+		c.mu.Lock()
+		now := time.Now()
+		for _, n := range r.News {
+			if n.Set != "" {
+				c.takeJob(n.Set[len(job.Key("")):], n.Data, n.Stamp, now)
+			} else if len(n.Delete) > len(job.Key("")) {
+				c.mirror.Drop(n.Delete[len(job.Key("")):], now)
+			}
+		}
+		c.mirror.Refreshed(sent)
+		c.mu.Unlock()
+		epoch = max(epoch, r.Epoch)
+		// Changes come in bunches: one answer for many costs less.
+		sleep(ctx, 150*time.Millisecond)
+	}
+}
+
+func (c *Controller) tickLoop(ctx context.Context) {
+	for sleep(ctx, 150*time.Millisecond) {
+		c.mu.Lock()
+		if c.part != nil {
+			c.part.Tick(time.Now())
+			poke(c.dirty)
+		}
+		c.mu.Unlock()
+	}
+}
+
+// commitLoop writes placements, removals and finished tasks, one transaction at
+// a time, each guarded on the view and on all that it changes.
+func (c *Controller) commitLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.dirty:
+		}
+		for c.commitOnce(ctx) && ctx.Err() == nil {
+		}
+	}
+}
+
+func (c *Controller) commitOnce(ctx context.Context) bool {
+	c.mu.Lock()
+	p, view := c.part, c.view
+	var cm *part.Commit
+	if p != nil && p.View() == view.Number {
+		cm = p.NextCommit(c.waiting)
+	}
+	c.mu.Unlock()
+	if cm == nil {
+		return false
+	}
+	m, err := c.transaction(view, cm)
+	if err != nil {
+		c.log.Error("commit cannot be encoded", "err", err)
+		return false
+	}
+	unknown := false
+	for ctx.Err() == nil {
+		epoch, err := c.store.Multi(ctx, state.Part, m)
+		if conflict, ok := err.(*state.Conflict); ok {
+			return c.resolve(ctx, p, cm, conflict)
+		}
+		if err == nil {
+			c.mu.Lock()
+			p.Committed(cm, epoch, time.Now())
+			for _, jw := range cm.Jobs {
+				if jw.Ended != nil {
+					c.finals[jw.UID] = *jw.Ended
+				}
+			}
+			c.wake()
+			c.mu.Unlock()
+			return true
+		}
+		if c.stale(p) {
+			return false
+		}
+		if !isRefused(err) {
+			unknown = true
+		} else if !unknown {
+			c.mu.Lock()
+			p.Refused(cm)
+			c.mu.Unlock()
+			sleep(ctx, 100*time.Millisecond)
+			poke(c.dirty)
+			return false
+		}
+		// It may have been executed, or may be yet: the same transaction again
+		// settles it, since its guards hold only once.
+		sleep(ctx, 100*time.Millisecond)
+	}
+	return false
+}
+
+// wake lets the reports that wait for a commit look again.
+func (c *Controller) wake() {
+	close(c.settled)
+	c.settled = make(chan struct{})
+}
+
+func (c *Controller) stale(p *part.Part) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.part != p
+}
+
+func (c *Controller) transaction(view roster.View, cm *part.Commit) (protocol.Multi, error) {
+	m := protocol.Multi{Guards: []protocol.Guard{{Key: roster.ViewKey, Stamp: view.Stamp}}}
+	set := func(key string, v any) error {
+		raw, err := protocol.Marshal(v)
+		m.Then = append(m.Then, protocol.Change{Set: key, Data: raw})
+		return err
+	}
+	for _, w := range cm.Machines {
+		m.Guards = append(m.Guards, protocol.Guard{Key: part.Key(w.ID), Stamp: w.Stamp})
+		if w.Rec == nil {
+			m.Then = append(m.Then, protocol.Change{Delete: part.Key(w.ID)})
+		} else if err := set(part.Key(w.ID), w.Rec); err != nil {
+			return m, err
+		}
+	}
+	for _, w := range cm.Jobs {
+		m.Guards = append(m.Guards, protocol.Guard{Key: job.Key(w.UID), Stamp: w.Stamp})
+		if w.Ended != nil {
+			m.Then = append(m.Then, protocol.Change{Delete: job.Key(w.UID)})
+			if err := set(job.EndedKey(w.UID), w.Ended); err != nil {
+				return m, err
+			}
+		} else if err := set(job.Key(w.UID), w.Rec); err != nil {
+			return m, err
+		}
+	}
+	return m, nil
+}
+
+// resolve reads what a failed commit touched and settles it from that.
+func (c *Controller) resolve(ctx context.Context, p *part.Part, cm *part.Commit, conflict *state.Conflict) bool {
+	for _, k := range conflict.Failed {
+		if k == roster.ViewKey {
+			c.log.Info("view is over", "view", p.View())
+			c.roster.Higher(p.View() + 1)
+			c.mu.Lock()
+			if c.part == p {
+				c.part, c.div = nil, nil
+			}
+			c.wake()
+			c.mu.Unlock()
+			return false
+		}
+	}
+	failed := map[string]bool{}
+	for _, k := range conflict.Failed {
+		failed[k] = true
+	}
+	get := func(key string) (protocol.Entry, bool) {
+		for ctx.Err() == nil && !c.stale(p) {
+			e, err := c.store.Get(ctx, state.Part, key)
+			if err == nil {
+				return e, true
+			}
+			sleep(ctx, 100*time.Millisecond)
+		}
+		return protocol.Entry{}, false
+	}
+	for _, w := range cm.Jobs {
+		if !failed[job.Key(w.UID)] {
+			continue
+		}
+		e, ok := get(job.Key(w.UID))
+		if !ok {
+			return false
+		}
+		c.mu.Lock()
+		if e.Stamp == 0 {
+			c.mirror.Drop(w.UID, time.Now())
+		} else {
+			c.takeJob(w.UID, e.Data, e.Stamp, time.Now())
+		}
+		c.mu.Unlock()
+	}
+	for _, w := range cm.Machines {
+		if !failed[part.Key(w.ID)] {
+			continue
+		}
+		e, ok := get(part.Key(w.ID))
+		if !ok {
+			return false
+		}
+		var rec *part.Record
+		if e.Stamp != 0 {
+			rec = &part.Record{}
+			if err := protocol.Unmarshal(e.Data, rec); err != nil {
+				c.log.Error("machine record cannot be read", "machine", w.ID, "err", err)
+			}
+		}
+		c.mu.Lock()
+		p.Reread(cm, w.ID, rec, e.Stamp, time.Now())
+		c.mu.Unlock()
+	}
+	c.mu.Lock()
+	p.Refused(cm)
+	c.wake()
+	c.mu.Unlock()
+	return true
+}
--- /dev/null
+++ b/controller/front.go
@@ -0,0 +1,386 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"junipershelf/divide"
+	"junipershelf/front"
+	"junipershelf/job"
+	"junipershelf/peer"
+	"junipershelf/protocol"
+	"junipershelf/state"
+)
+
+func taskOf(a divide.Allotment) job.Task { return job.Task{Job: a.Job, Index: a.Index} }
+
+// userTime bounds what a user waits for: after that the answer is 503.
+const userTime = 1200 * time.Millisecond
+
+var busy = front.Problem(http.StatusServiceUnavailable, "try again")
+
+// insist repeats a call that was surely not executed, for a short while.
+func insist(ctx context.Context, f func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, userTime)
+	defer cancel()
+	for {
+		err := f(ctx)
+		if !isRefused(err) {
+			return err
+		}
+		if !sleep(ctx, 60*time.Millisecond) {
+			return err
+		}
+	}
+}
+
+// lookup reads a job's state: a live record, a final one, or neither.
+func (c *Controller) lookup(ctx context.Context, uid string) (live *job.Record, stamp uint64, final *job.Ended, err error) {
+	c.mu.Lock()
+	e, known := c.finals[uid]
+	c.mu.Unlock()
+	if known {
+		return nil, 0, &e, nil
+	}
+	var entry protocol.Entry
+	err = insist(ctx, func(ctx context.Context) (err error) {
+		entry, err = c.store.Get(ctx, state.User, job.Key(uid))
+		return
+	})
+	if err != nil {
+		return nil, 0, nil, err
+	}
+	if entry.Stamp != 0 {
+		live = &job.Record{}
+		return live, entry.Stamp, nil, protocol.Unmarshal(entry.Data, live)
+	}
+	err = insist(ctx, func(ctx context.Context) (err error) {
+		entry, err = c.store.Get(ctx, state.User, job.EndedKey(uid))
+		return
+	})
+	if err != nil || entry.Stamp == 0 {
+		return nil, 0, nil, err
+	}
+	if err := protocol.Unmarshal(entry.Data, &e); err != nil {
+		return nil, 0, nil, err
+	}
+	c.remember(uid, e)
+	return nil, 0, &e, nil
+}
+
+// remember keeps a final state, which never changes.
+func (c *Controller) remember(uid string, e job.Ended) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.finals) > 50000 {
+		clear(c.finals)
+	}
+	c.finals[uid] = e
+	c.mirror.Drop(uid, time.Now())
+}
+
+func (c *Controller) status(uid string, live *job.Record, final *job.Ended) protocol.JobStatus {
+	zero := 0
+	if final != nil {
+		return protocol.JobStatus{UID: uid, Status: final.Status, Done: &final.Done, Running: &zero}
+	}
+	done := 0
+	if r, err := job.ParseRanges(live.Done); err == nil {
+		done = r.Len()
+	}
+	c.mu.Lock()
+	running := c.running[uid]
+	c.mu.Unlock()
+	s := protocol.JobStatus{UID: uid, Status: "pending", Done: &done, Running: &running}
+	if running > 0 {
+		s.Status = "running"
+	}
+	return s
+}
+
+// Submit accepts a job once it stands in the state service.
+func (c *Controller) Submit(ctx context.Context, spec *protocol.Spec) front.Answer {
+	code, why := c.possible(spec)
+	if code != 0 {
+		// A job that was accepted stays accepted, whatever has changed since.
+		live, _, final, err := c.lookup(ctx, spec.UID)
+		if err == nil && (live != nil || final != nil) {
+			return front.Answer{Code: 200, Body: c.status(spec.UID, live, final)}
+		}
+		if err != nil {
+			return busy
+		}
+		return front.Problem(code, why)
+	}
+	c.mu.Lock()
+	e, known := c.finals[spec.UID]
+	c.mu.Unlock()
+	if known {
+		return front.Answer{Code: 200, Body: c.status(spec.UID, nil, &e)}
+	}
+	now := time.Now()
+	rec := job.Record{Spec: *spec, At: now.UnixMilli()}
+	raw, err := protocol.Marshal(rec)
+	if err != nil {
+		return busy
+	}
+	if len(raw)+800 > c.store.ValueBytes() {
+		return front.Problem(http.StatusUnprocessableEntity, "the job's description is too large to keep")
+	}
+	var epoch uint64
+	err = insist(ctx, func(ctx context.Context) (err error) {
+		epoch, err = c.store.Multi(ctx, state.User, protocol.Multi{
+			Guards: []protocol.Guard{{Key: job.Key(spec.UID)}, {Key: job.EndedKey(spec.UID)}},
+			Then:   []protocol.Change{{Set: job.Key(spec.UID), Data: raw}},
+		})
+		return
+	})
+	var conflict *state.Conflict
+	switch {
+	case err == nil:
+		c.mu.Lock()
+		_ = c.mirror.Set(spec.UID, rec, epoch, now)
+		c.mu.Unlock()
+		return front.Answer{Code: 201, Body: protocol.JobStatus{UID: spec.UID, Status: "pending"}}
+	case errors.As(err, &conflict):
+		live, _, final, err := c.lookup(ctx, spec.UID)
+		if err != nil || live == nil && final == nil {
+			return busy
+		}
+		return front.Answer{Code: 200, Body: c.status(spec.UID, live, final)}
+	}
+	return busy
+}
+
+// possible tells whether a job can ever run: 0, 422, or 503 when the machine
+// types are not known yet.
+func (c *Controller) possible(s *protocol.Spec) (int, string) {
+	team, ok := c.teams[s.Owner]
+	if !ok {
+		return 422, "unknown team"
+	}
+	t := c.set.Facts.Teams[team]
+	if s.CPUs > t.CPUsMax || s.Accelerators > t.GPUsMax {
+		return 422, "a task needs more than the team's limit"
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.flavors) == 0 {
+		return 503, "machine types are not known yet"
+	}
+	need := job.NeedOf(s)
+	for label, f := range c.flavors {
+		if cp, _ := c.caps(label); !need.Fits(cp) {
+			continue
+		}
+		for _, z := range f.Yards {
+			if job.Allows(s, label, z, false) {
+				return 0, ""
+			}
+		}
+	}
+	return 422, "a task fits no allowed machine type"
+}
+
+// Status answers a poll.
+func (c *Controller) Status(ctx context.Context, uid string) front.Answer {
+	live, _, final, err := c.lookup(ctx, uid)
+	switch {
+	case err != nil:
+		return busy
+	case live == nil && final == nil:
+		return front.Problem(http.StatusNotFound, "no such job")
+	}
+	return front.Answer{Code: 200, Body: c.status(uid, live, final)}
+}
+
+// Cancel ends a job, unless it is done.
+func (c *Controller) Cancel(ctx context.Context, uid string) front.Answer {
+	ctx, cancel := context.WithTimeout(ctx, 3*userTime)
+	defer cancel()
+	for range 6 {
+		live, stamp, final, err := c.lookup(ctx, uid)
+		switch {
+		case err != nil:
+			return busy
+		case final != nil:
+			return front.Answer{Code: 200, Body: protocol.JobStatus{UID: uid, Status: final.Status}}
+		case live == nil:
+			return front.Problem(http.StatusNotFound, "no such job")
+		}
+		done, _ := job.ParseRanges(live.Done)
+		end := job.Ended{Status: job.Cancelled, Done: done.Len()}
+		raw, err := protocol.Marshal(end)
+		if err != nil {
+			return busy
+		}
+		err = insist(ctx, func(ctx context.Context) error {
+			_, err := c.store.Multi(ctx, state.User, protocol.Multi{
+				Guards: []protocol.Guard{{Key: job.Key(uid), Stamp: stamp}},
+				Then:   []protocol.Change{{Delete: job.Key(uid)}, {Set: job.EndedKey(uid), Data: raw}},
+			})
+			return err
+		})
+		var conflict *state.Conflict
+		if errors.As(err, &conflict) {
+			continue
+		}
+		if err != nil {
+			return busy
+		}
+		c.remember(uid, end)
+		return front.Answer{Code: 200, Body: protocol.JobStatus{UID: uid, Status: job.Cancelled}}
+	}
+	return busy
+}
+
+// Healthy is false for a node that has lost the state service alone. When the
+// others have lost it too, it stays healthy and says 503, so that an outage
+// does not empty the load balancer.
+func (c *Controller) Healthy() bool {
+	if c.store.Silence() < 2500*time.Millisecond {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.peerUp {
+		if time.Since(p.at) < 2500*time.Millisecond && p.stateMS < 1500 {
+			return false
+		}
+	}
+	return true
+}
+
+// beatHold is how long a report's answer waits for a commit that concerns its
+// machine: what ended makes room, and the next start goes with this answer.
+const beatHold = 300 * time.Millisecond
+
+// Beat answers a worker's report.
+func (c *Controller) Beat(ctx context.Context, body []byte) front.Answer {
+	b, err := protocol.ParseBeat(body)
+	if err != nil {
+		return front.Problem(http.StatusBadRequest, err.Error())
+	}
+	return c.beat(ctx, b, body)
+}
+
+func (c *Controller) beat(ctx context.Context, b *protocol.Beat, body []byte) front.Answer {
+	view, me, _ := c.roster.Now()
+	if view.Number == 0 || view.Index(me) < 0 {
+		return busy
+	}
+	if o := view.OwnerOf(b.Host); view.Members[o] != me {
+		return c.stray(ctx, view.Members[o].Node, b.Host, body)
+	}
+	return c.own(ctx, view.Number, b)
+}
+
+// stray answers a report that belongs to another owner. A worker that comes
+// back although it was sent there cannot reach its owner: its report is passed
+// on over our own network.
+func (c *Controller) stray(ctx context.Context, owner, host string, body []byte) front.Answer {
+	now := time.Now()
+	c.mu.Lock()
+	last, again := c.strays[host]
+	again = again && now.Sub(last) < 10*time.Second
+	c.strays[host] = now
+	if len(c.strays) > 5000 {
+		clear(c.strays)
+	}
+	alive := now.Sub(c.peerUp[owner].at) < 2500*time.Millisecond
+	c.mu.Unlock()
+	if !alive {
+		// Naming it would only send the worker into the void.
+		return front.Answer{Code: http.StatusMisdirectedRequest, Body: protocol.Foreman{}}
+	}
+	if again && body != nil {
+		if cl := c.peers[owner]; cl != nil {
+			if a, err := cl.Forward(ctx, peer.Forward{Body: body}); err == nil && a.Code == 200 {
+				var r protocol.BeatReply
+				if protocol.Unmarshal(a.Body, &r) == nil {
+					return front.Answer{Code: 200, Body: r}
+				}
+			}
+		}
+		return busy
+	}
+	return front.Answer{Code: http.StatusMisdirectedRequest, Body: protocol.Foreman{Foreman: owner}}
+}
+
+// Forward takes a report that another node passes on.
+func (c *Controller) Forward(ctx context.Context, q peer.Forward) peer.ForwardReply {
+	b, err := protocol.ParseBeat(q.Body)
+	if err != nil {
+		return peer.ForwardReply{Code: 400}
+	}
+	a := c.beat(ctx, b, nil)
+	raw, err := protocol.Marshal(a.Body)
+	if err != nil {
+		return peer.ForwardReply{Code: 500}
+	}
+	return peer.ForwardReply{Code: a.Code, Body: raw}
+}
+
+func (c *Controller) own(ctx context.Context, view uint64, b *protocol.Beat) front.Answer {
+	// While a new view is read, a moment's wait spares the worker a detour.
+	c.mu.Lock()
+	loaded := c.loaded
+	ready := c.part != nil && c.part.View() == view
+	c.mu.Unlock()
+	if !ready {
+		select {
+		case <-loaded:
+		case <-time.After(time.Second):
+		case <-ctx.Done():
+		}
+	}
+	now := time.Now()
+	c.mu.Lock()
+	p := c.part
+	if p == nil || p.View() != view || !c.roster.Holds(view) {
+		if p != nil {
+			p.Contact(b.Host, now)
+		}
+		c.mu.Unlock()
+		return busy
+	}
+	fresh := p.Report(now, b)
+	if !fresh {
+		c.mu.Unlock()
+		return front.Answer{Code: 200, Body: protocol.BeatReply{Baton: view, Orders: []protocol.Order{}}}
+	}
+	p.Tick(now)
+	if p.Dirty(b.Host) {
+		c.waiting[b.Host] = true
+		poke(c.dirty)
+		limit := time.After(beatHold)
+	wait:
+		for c.part == p && p.Dirty(b.Host) {
+			settled := c.settled
+			c.mu.Unlock()
+			select {
+			case <-settled:
+				c.mu.Lock()
+				p.Tick(time.Now())
+			case <-limit:
+				c.mu.Lock()
+				break wait
+			case <-ctx.Done():
+				c.mu.Lock()
+				break wait
+			}
+		}
+		delete(c.waiting, b.Host)
+	}
+	defer c.mu.Unlock()
+	if c.part != p || !c.roster.Holds(view) {
+		return busy
+	}
+	orders := p.Orders(time.Now(), b.Host, b.Shift, b.Tick)
+	if orders == nil {
+		orders = []protocol.Order{}
+	}
+	return front.Answer{Code: 200, Body: protocol.BeatReply{Baton: view, Orders: orders}}
+}
--- /dev/null
+++ b/divide/divide.go
@@ -0,0 +1,577 @@
+// Package divide is the divider's mind: it admits tasks under the teams'
+// limits, serves the teams' queues by shares, and splits jobs over owners by
+// free room. It is pure: time and news in, allotments out.
+package divide
+
+import (
+	"sort"
+	"time"
+
+	"junipershelf/job"
+	"junipershelf/part"
+)
+
+// Config holds sizes and times.
+type Config struct {
+	Backlog    int           // tasks queued on a machine that has no room
+	Aging      time.Duration // waiting this long lifts work by one urgency
+	FaultPause time.Duration // first pause of a job whose task failed
+	FaultMax   time.Duration
+	SickAfter  int // failures of different tasks that others complete
+	ValueBytes int
+}
+
+// Team is a team of the settings.
+type Team struct {
+	Name      string
+	Guarantee job.Need
+	Limit     job.Need
+	Weight    float64 // 0: the guarantee is the share
+	used      job.Need
+	tasks     int
+}
+
+// Allotment gives a task to the owner of a machine.
+type Allotment struct {
+	Seq     uint64 `msgpack:"q"`
+	Job     string `msgpack:"j"`
+	Index   int    `msgpack:"n"`
+	Machine string `msgpack:"m"`
+
+	need job.Need
+	team string
+}
+
+type owner struct {
+	synced  bool
+	digest  part.Digest
+	seq     uint64
+	unacked []Allotment
+}
+
+type jobInfo struct {
+	pauseUntil time.Time
+	faults     int
+	failedOn   map[string]bool
+	completed  bool
+	shunned    map[int]string // a task's last machine that failed it
+}
+
+// Held is where a task is.
+type Held struct {
+	Owner   int
+	Machine string
+	Task    part.HeldTask
+	Need    job.Need
+	Team    string
+}
+
+// Divider is the ledger of one view.
+type Divider struct {
+	cfg    Config
+	Teams  []Team
+	byName map[string]int
+	jobs   *job.Mirror
+	owners []owner
+	info   map[string]*jobInfo
+	caps   part.Caps
+
+	held   map[job.Task]Held
+	perJob map[string]int
+	done   map[job.Task]bool
+	moves  []part.Move
+	stops  map[int][]job.Task
+	sick   map[string]map[job.Task]bool
+	Sick   map[string]bool
+
+	Machines map[string]*Room
+	order    []string
+	Allotted uint64
+}
+
+// Room is a machine as the divider counts it.
+type Room struct {
+	part.State
+	Owner int
+	Cap   job.Need
+	Free  job.Need
+	Queue int
+}
+
+// New makes the divider of a view with as many owners as it has members.
+func New(cfg Config, teams []Team, owners int, caps part.Caps, jobs *job.Mirror) *Divider {
+	d := &Divider{cfg: cfg, Teams: teams, byName: map[string]int{}, jobs: jobs, owners: make([]owner, owners), caps: caps,
+		info: map[string]*jobInfo{}, sick: map[string]map[job.Task]bool{}, Sick: map[string]bool{}}
+	for i, t := range teams {
+		d.byName[t.Name] = i
+	}
+	return d
+}
+
+// Inherit counts an owner's committed placements until its first digest comes.
+func (d *Divider) Inherit(o int, dg part.Digest) {
+	if !d.owners[o].synced {
+		d.owners[o].digest = dg
+	}
+}
+
+// Synced tells whether every owner has shown what it holds.
+func (d *Divider) Synced() bool {
+	for _, o := range d.owners {
+		if !o.synced {
+			return false
+		}
+	}
+	return true
+}
+
+// Digest takes an owner's digest and gives what it has not acknowledged.
+func (d *Divider) Digest(o int, dg part.Digest, now time.Time) {
+	w := &d.owners[o]
+	if w.synced && dg.N <= w.digest.N {
+		// A late copy would take back what was acknowledged since.
+		return
+	}
+	w.synced = true
+	for _, t := range dg.Done {
+		d.completed(t)
+	}
+	for _, f := range dg.Faults {
+		d.fault(f, now)
+	}
+	d.moves = append(d.moves, dg.Moves...)
+	dg.Moves, dg.Faults = nil, nil
+	w.digest = dg
+	keep := w.unacked[:0]
+	for _, a := range w.unacked {
+		if a.Seq > dg.Ack {
+			keep = append(keep, a)
+		}
+	}
+	w.unacked = keep
+}
+
+// Unacked is what an owner has yet to take.
+func (d *Divider) Unacked(o int) []Allotment { return d.owners[o].unacked }
+
+func (d *Divider) jobInfo(uid string) *jobInfo {
+	i := d.info[uid]
+	if i == nil {
+		i = &jobInfo{failedOn: map[string]bool{}, shunned: map[int]string{}}
+		d.info[uid] = i
+	}
+	return i
+}
+
+func (d *Divider) completed(t job.Task) {
+	if l := d.jobs.Get(t.Job); l != nil {
+		l.Finished.Add(t.Index)
+		if i := d.info[t.Job]; i != nil && !i.completed {
+			i.completed = true
+		}
+	}
+}
+
+// fault notes a failed task. Most failures are the machine's; a job submitted
+// with a mistake fails on every machine and pauses for longer and longer.
+func (d *Divider) fault(f part.Fault, now time.Time) {
+	i := d.jobInfo(f.Task.Job)
+	switch f.Cause {
+	case "full", "busy":
+		return
+	case "no_such":
+		i.pauseUntil = now.Add(d.cfg.FaultPause)
+		return
+	}
+	i.shunned[f.Task.Index] = f.Machine
+	i.failedOn[f.Machine] = true
+	i.faults++
+	if len(i.failedOn) >= 2 && !i.completed {
+		pause := d.cfg.FaultPause << min(i.faults, 10)
+		i.pauseUntil = now.Add(min(pause, d.cfg.FaultMax))
+	}
+	s := d.sick[f.Machine]
+	if s == nil {
+		s = map[job.Task]bool{}
+		d.sick[f.Machine] = s
+	}
+	s[f.Task] = true
+	d.judge(f.Machine)
+}
+
+// judge calls a machine sick when enough tasks failed on it whose jobs have not
+// failed elsewhere.
+func (d *Divider) judge(machine string) {
+	n := 0
+	for t := range d.sick[machine] {
+		if i := d.info[t.Job]; i != nil && (i.completed || len(i.failedOn) < 2) {
+			n++
+		}
+	}
+	if n >= d.cfg.SickAfter {
+		d.Sick[machine] = true
+	}
+}
+
+// Count rebuilds the ledger from digests and unacknowledged allotments.
+func (d *Divider) Count(now time.Time) {
+	d.held = make(map[job.Task]Held, len(d.held))
+	d.perJob = make(map[string]int, len(d.perJob))
+	d.Machines = make(map[string]*Room, len(d.Machines))
+	d.order = d.order[:0]
+	for i := range d.Teams {
+		d.Teams[i].used, d.Teams[i].tasks = job.Need{}, 0
+	}
+	hold := func(t job.Task, h Held) {
+		if _, twice := d.held[t]; !twice {
+			d.perJob[t.Job]++
+		}
+		d.held[t] = h
+		if n, ok := d.byName[h.Team]; ok {
+			d.Teams[n].used = d.Teams[n].used.Plus(h.Need)
+			d.Teams[n].tasks++
+		}
+	}
+	for o := range d.owners {
+		w := &d.owners[o]
+		for _, s := range w.digest.Machines {
+			c, _ := d.caps(s.Flavor)
+			d.Machines[s.ID] = &Room{State: s, Owner: o, Cap: c, Free: s.Room, Queue: s.Queue}
+			d.order = append(d.order, s.ID)
+		}
+		for _, j := range w.digest.Held {
+			for _, t := range j.Tasks {
+				hold(job.Task{Job: j.UID, Index: t.Index}, Held{Owner: o, Machine: t.Machine, Task: t, Need: j.Need, Team: j.Team})
+			}
+		}
+		for _, a := range w.unacked {
+			hold(job.Task{Job: a.Job, Index: a.Index}, Held{Owner: o, Machine: a.Machine, Need: a.need, Team: a.team,
+				Task: part.HeldTask{Index: a.Index, Machine: a.Machine}})
+			if m := d.Machines[a.Machine]; m != nil {
+				d.take(m, a.need)
+			}
+		}
+	}
+	sort.Strings(d.order)
+	for uid := range d.info {
+		if d.jobs.Get(uid) == nil {
+			delete(d.info, uid)
+		}
+	}
+	for id := range d.sick {
+		if d.Machines[id] == nil {
+			delete(d.sick, id)
+			delete(d.Sick, id)
+		}
+	}
+}
+
+func (d *Divider) take(m *Room, n job.Need) {
+	m.Free = m.Free.Minus(n)
+	if m.Free.CPUs < -1e-6 || m.Free.Mem < -1e-6 || m.Free.Acc < -1e-6 {
+		m.Queue++
+	}
+}
+
+// Holding is the ledger as last counted.
+func (d *Divider) Holding() map[job.Task]Held { return d.held }
+
+// Machine ids in order, as last counted.
+func (d *Divider) Order() []string { return d.order }
+
+// Wait is a job with tasks that wait for room.
+type Wait struct {
+	Job     *job.Live
+	Team    int
+	Tasks   int // that wait
+	Age     time.Duration
+	next    int // where to look for the next waiting task
+	blocked bool
+	limited bool
+}
+
+// Waiting lists the jobs with tasks that nobody holds.
+func (d *Divider) Waiting(now time.Time) []*Wait {
+	var out []*Wait
+	for uid, l := range d.jobs.Jobs {
+		if l.Team < 0 {
+			continue
+		}
+		if i := d.info[uid]; i != nil && now.Before(i.pauseUntil) {
+			continue
+		}
+		heldUndone := d.perJob[uid]
+		n := l.Spec.Pieces - l.Finished.Len() - heldUndone
+		if n <= 0 {
+			continue
+		}
+		out = append(out, &Wait{Job: l, Team: l.Team, Tasks: n, Age: now.Sub(time.UnixMilli(l.At))})
+	}
+	sort.Slice(out, func(i, j int) bool {
+		a, b := out[i], out[j]
+		if ra, rb := d.rank(a), d.rank(b); ra != rb {
+			return ra < rb
+		}
+		if da, db := due(a), due(b); da != db {
+			return da < db
+		}
+		return a.Job.Spec.UID < b.Job.Spec.UID
+	})
+	return out
+}
+
+// rank is the urgency's place; waiting lifts it, so low work is not starved.
+func (d *Divider) rank(w *Wait) int {
+	r := w.Job.Rank
+	if d.cfg.Aging > 0 {
+		r -= int(w.Age / d.cfg.Aging)
+	}
+	return max(r, 0)
+}
+
+func due(w *Wait) int64 {
+	if w.Job.Spec.DueS > 0 {
+		return w.Job.At + int64(w.Job.Spec.DueS*1000)
+	}
+	return w.Job.At
+}
+
+// Allot admits what fits now. It first serves the moves that owners asked for.
+func (d *Divider) Allot(now time.Time) {
+	d.Count(now)
+	for _, mv := range d.moves {
+		l, m := d.jobs.Get(mv.Task.Job), d.Machines[mv.To]
+		if _, held := d.held[mv.Task]; held || l == nil || m == nil || l.Team < 0 || l.Finished.Has(mv.Task.Index) ||
+			!m.Usable || !l.Need().Fits(m.Free) || !d.within(l, false) {
+			continue
+		}
+		if z, ok := d.zoneOK(l, m.Zone); !ok || z != "" && z != m.Zone {
+			continue
+		}
+		if job.Allows(&l.Spec, m.Flavor, m.Zone, m.Spot) {
+			d.give(l, mv.Task.Index, m)
+		}
+	}
+	d.moves = nil
+	waits := d.Waiting(now)
+	// First what lies within the guarantees, then what is borrowed.
+	for _, borrow := range []bool{false, true} {
+		for _, w := range waits {
+			w.limited = false
+		}
+		for {
+			w := d.pick(waits, borrow)
+			if w == nil {
+				break
+			}
+			d.serve(w, borrow)
+		}
+	}
+}
+
+// pick takes the most pressing job; among equals the team that uses the least
+// of its share.
+func (d *Divider) pick(waits []*Wait, borrow bool) *Wait {
+	var best *Wait
+	bestRank, bestShare := 0, 0.0
+	for _, w := range waits {
+		if w.blocked || w.limited || w.Tasks <= 0 {
+			continue
+		}
+		r := d.rank(w)
+		if best != nil && r > bestRank {
+			break
+		}
+		if !d.within(w.Job, !borrow) {
+			w.limited = true
+			continue
+		}
+		t := &d.Teams[w.Team]
+		weight := t.Weight
+		if weight <= 0 {
+			weight = max(t.Guarantee.CPUs, 1)
+		}
+		share := t.used.CPUs / weight
+		if best == nil || share < bestShare-1e-9 {
+			best, bestRank, bestShare = w, r, share
+		}
+	}
+	return best
+}
+
+func (d *Divider) within(l *job.Live, guarantee bool) bool {
+	t := &d.Teams[l.Team]
+	lim := t.Limit
+	if guarantee {
+		lim = t.Guarantee
+	}
+	used := t.used.Plus(l.Need())
+	return used.CPUs <= lim.CPUs+1e-6 && used.Acc <= lim.Acc+1e-6
+}
+
+// serve allots one task of a job, or marks the job as blocked for this round.
+func (d *Divider) serve(w *Wait, borrow bool) {
+	l := w.Job
+	idx := d.nextTask(w)
+	if idx < 0 {
+		w.blocked = true
+		return
+	}
+	m := d.choose(l, idx)
+	if m == nil {
+		w.blocked = true
+		return
+	}
+	d.give(l, idx, m)
+	w.Tasks--
+	w.next = idx + 1
+}
+
+func (d *Divider) nextTask(w *Wait) int {
+	l := w.Job
+	// Finished tasks are kept as ranges: holes far behind would grow the record
+	// past what a value may hold.
+	lag := l.Finished.Spans()*14+1500 > d.cfg.ValueBytes/2
+	for i := w.next; i < l.Spec.Pieces; i++ {
+		if l.Finished.Has(i) {
+			continue
+		}
+		if _, held := d.held[job.Task{Job: l.Spec.UID, Index: i}]; held {
+			if lag {
+				return -1
+			}
+			continue
+		}
+		return i
+	}
+	return -1
+}
+
+// zoneOK gives the zone that a job is bound to, if any, and whether a zone may
+// take one more of its tasks.
+func (d *Divider) zoneOK(l *job.Live, zone string) (bound string, ok bool) {
+	if !l.Spec.Together && !l.Spec.Scatter {
+		return "", true
+	}
+	n := 0
+	for t, h := range d.held {
+		if t.Job != l.Spec.UID {
+			continue
+		}
+		z := ""
+		if m := d.Machines[h.Machine]; m != nil {
+			z = m.Zone
+		}
+		if z == "" {
+			return "", false // nobody knows where that task is
+		}
+		if l.Spec.Together {
+			return z, z == zone
+		}
+		if z == zone {
+			n++
+		}
+	}
+	return "", !l.Spec.Scatter || n < (l.Spec.Pieces+1)/2
+}
+
+// choose finds the machine for a task: one with room, best with its image
+// there; else one whose queue is short.
+func (d *Divider) choose(l *job.Live, idx int) *Room {
+	need := l.Need()
+	shun := ""
+	if i := d.info[l.Spec.UID]; i != nil {
+		shun = i.shunned[idx]
+	}
+	var best *Room
+	bestScore := 0.0
+	zones := map[string]bool{}
+	for _, id := range d.order {
+		m := d.Machines[id]
+		if !m.Usable || m.Leaving || m.Warned || d.Sick[id] || id == shun || !need.Fits(m.Cap) ||
+			!job.Allows(&l.Spec, m.Flavor, m.Zone, m.Spot) {
+			continue
+		}
+		ok, known := zones[m.Zone]
+		if !known {
+			_, ok = d.zoneOK(l, m.Zone)
+			zones[m.Zone] = ok
+		}
+		if !ok {
+			continue
+		}
+		score := 0.0
+		if need.Fits(m.Free) {
+			score = 100
+			if has(m.Images, l.Spec.Bundle) {
+				score += 50
+			} else if has(m.Fetching, l.Spec.Bundle) {
+				score += 25
+			}
+			// Fill machines up, so that others fall idle and can go.
+			score += 10 * (1 - m.Free.CPUs/max(m.Cap.CPUs, 1e-9))
+		} else if m.Queue < d.cfg.Backlog {
+			score = 10 - float64(m.Queue)
+			if has(m.Images, l.Spec.Bundle) {
+				score += 5
+			}
+		} else {
+			continue
+		}
+		if best == nil || score > bestScore {
+			best, bestScore = m, score
+		}
+	}
+	return best
+}
+
+func has(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Divider) give(l *job.Live, idx int, m *Room) {
+	w := &d.owners[m.Owner]
+	w.seq++
+	a := Allotment{Seq: w.seq, Job: l.Spec.UID, Index: idx, Machine: m.ID, need: l.Need(), team: l.Spec.Owner}
+	w.unacked = append(w.unacked, a)
+	d.held[job.Task{Job: a.Job, Index: idx}] = Held{Owner: m.Owner, Machine: m.ID, Need: a.need, Team: a.team,
+		Task: part.HeldTask{Index: idx, Machine: m.ID}}
+	d.perJob[a.Job]++
+	t := &d.Teams[l.Team]
+	t.used = t.used.Plus(a.need)
+	d.take(m, a.need)
+	if !has(m.Images, l.Spec.Bundle) && !has(m.Fetching, l.Spec.Bundle) {
+		m.Fetching = append(m.Fetching[:len(m.Fetching):len(m.Fetching)], l.Spec.Bundle)
+	}
+	d.Allotted++
+}
+
+// Running counts a job's tasks that run.
+func (d *Divider) Running() map[string]int {
+	out := map[string]int{}
+	for t, h := range d.held {
+		if h.Task.Running {
+			out[t.Job]++
+		}
+	}
+	return out
+}
+
+// Rank is exported for the fleet's plan.
+func (d *Divider) Rank(w *Wait) int { return d.rank(w) }
+
+// Used is what a team holds.
+func (t *Team) Used() job.Need { return t.used }
+
+// Within tells whether a team's limit has room for one more task of a job.
+func (d *Divider) Within(l *job.Live) bool { return d.within(l, false) }
+
+// Stops lists the tasks of an owner that are to make room for others.
+func (d *Divider) Stops(o int) []job.Task {
+	return d.stops[o]
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,332 @@
+// Package fleet decides what to rent and what to return. It is pure: the
+// divider's ledger, the cloud's lists and the time go in, hires and leaves come
+// out.
+package fleet
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"junipershelf/divide"
+	"junipershelf/job"
+	"junipershelf/protocol"
+)
+
+// Config holds the fleet's times and bounds.
+type Config struct {
+	Horizon      time.Duration // work is to be drained within this
+	Idle         time.Duration // an idle machine goes after this
+	BootFactor   float64       // a machine that boots this many times boot_s is given up
+	BootSlack    time.Duration
+	Retry        time.Duration // after a refusal
+	OrdinaryRank int           // urgencies up to this may rent ordinary machines
+	OrdinaryWait time.Duration // after waiting this long with no spot to be had
+	Silent       time.Duration // a machine listed as running that never reports
+	ListLag      time.Duration
+	MaxBoot      int // machines that boot at the same time, 0 for no bound
+}
+
+// Offer is what can be rented.
+type Offer struct {
+	Flavor string
+	Zone   string
+	Spot   bool
+}
+
+// Hire asks for machines of an offer.
+type Hire struct {
+	Offer
+	Count int
+}
+
+type rented struct {
+	Offer
+	at     time.Time
+	listed bool
+	seen   time.Time // last in a list
+	status string
+}
+
+// Planner keeps what is known of rented machines.
+type Planner struct {
+	cfg     Config
+	Flavors []protocol.Flavor
+	rented  map[string]*rented
+	refused map[Offer]time.Time
+	fails   map[Offer]int
+	gone    map[string]time.Time
+	listed  time.Time
+	pending map[Offer]int // asked for, not answered
+}
+
+// New makes a planner.
+func New(cfg Config) *Planner {
+	return &Planner{cfg: cfg, rented: map[string]*rented{}, refused: map[Offer]time.Time{}, fails: map[Offer]int{},
+		gone: map[string]time.Time{}, pending: map[Offer]int{}}
+}
+
+// Flavor finds a type of the catalogue.
+func (p *Planner) Flavor(label string) *protocol.Flavor {
+	for i := range p.Flavors {
+		if p.Flavors[i].Label == label {
+			return &p.Flavors[i]
+		}
+	}
+	return nil
+}
+
+// Cap is the size of a type.
+func Cap(f *protocol.Flavor) job.Need {
+	return job.Need{CPUs: f.CPUs, Acc: f.Accelerators, Mem: f.MemGB}
+}
+
+// Asked notes a hire that is under way; Hired, Refused and Unknown its end.
+func (p *Planner) Asked(h Hire) { p.pending[h.Offer] += h.Count }
+
+// Hired notes the machines that a hire brought.
+func (p *Planner) Hired(h Hire, ids []string, now time.Time) {
+	p.pending[h.Offer] -= h.Count
+	for _, id := range ids {
+		p.rented[id] = &rented{Offer: h.Offer, at: now, seen: now, status: "booting"}
+	}
+	if len(ids) < h.Count {
+		p.refused[h.Offer] = now.Add(p.cfg.Retry)
+	} else {
+		p.fails[h.Offer] = 0
+	}
+}
+
+// Refused notes that an offer has nothing to give.
+func (p *Planner) Refused(h Hire, now time.Time) {
+	p.pending[h.Offer] -= h.Count
+	p.fails[h.Offer]++
+	p.refused[h.Offer] = now.Add(p.cfg.Retry * time.Duration(min(p.fails[h.Offer], 2)))
+}
+
+// Failed notes a hire that came to nothing for another reason.
+func (p *Planner) Failed(h Hire, now time.Time) {
+	p.pending[h.Offer] -= h.Count
+	p.refused[h.Offer] = now.Add(2 * time.Second)
+}
+
+// List takes the cloud's list.
+func (p *Planner) List(now time.Time, hosts []protocol.Host) {
+	p.listed = now
+	in := map[string]bool{}
+	for _, h := range hosts {
+		in[h.UID] = true
+		if _, gone := p.gone[h.UID]; gone {
+			continue // the list lags
+		}
+		r := p.rented[h.UID]
+		if r == nil {
+			r = &rented{at: now.Add(-time.Duration(h.HeldS * float64(time.Second)))}
+			p.rented[h.UID] = r
+		}
+		r.Offer = Offer{h.Flavor, h.Yard, h.Borrowed}
+		r.listed, r.seen, r.status = true, now, h.Status
+	}
+	for id, r := range p.rented {
+		if !in[id] && (r.listed && now.Sub(r.seen) > p.cfg.ListLag || now.Sub(r.seen) > 4*p.cfg.ListLag+5*time.Second) {
+			delete(p.rented, id)
+		}
+	}
+	for id, at := range p.gone {
+		if now.Sub(at) > 5*time.Minute {
+			delete(p.gone, id)
+		}
+	}
+}
+
+// Gone notes machines that are returned.
+func (p *Planner) Gone(ids []string, now time.Time) {
+	for _, id := range ids {
+		if _, known := p.gone[id]; !known {
+			p.gone[id] = now
+		}
+		delete(p.rented, id)
+	}
+}
+
+// Listed tells whether a list has been seen.
+func (p *Planner) Listed() bool { return !p.listed.IsZero() }
+
+// Plan gives what to rent, which machines to drain, and which to return at once.
+func (p *Planner) Plan(now time.Time, d *divide.Divider, waits []*divide.Wait) (hires []Hire, leave, drop []string) {
+	type room struct {
+		Offer
+		free job.Need
+	}
+	var pool []*room
+	booting := 0
+	for id, r := range p.rented {
+		m := d.Machines[id]
+		if m != nil && m.Heard {
+			continue
+		}
+		f := p.Flavor(r.Flavor)
+		if f == nil || r.status == "failed" {
+			if r.status == "failed" {
+				drop = append(drop, id)
+			}
+			continue
+		}
+		age := now.Sub(r.at)
+		limit := time.Duration(f.BootS*p.cfg.BootFactor*float64(time.Second)) + p.cfg.BootSlack
+		if age > limit {
+			drop = append(drop, id)
+			continue
+		}
+		booting++
+		pool = append(pool, &room{r.Offer, Cap(f)})
+	}
+	for o, n := range p.pending {
+		if f := p.Flavor(o.Flavor); f != nil {
+			for range n {
+				booting++
+				pool = append(pool, &room{o, Cap(f)})
+			}
+		}
+	}
+	for _, id := range d.Order() {
+		m := d.Machines[id]
+		if r := p.rented[id]; r != nil && r.status == "failed" {
+			drop = append(drop, id)
+			continue
+		}
+		if d.Sick[id] {
+			drop = append(drop, id)
+			continue
+		}
+		if !m.Usable || m.Leaving || m.Warned {
+			continue
+		}
+		// Tasks end within the horizon and others take their place.
+		half := job.Need{CPUs: m.Cap.CPUs * 0.5, Acc: m.Cap.Acc * 0.5, Mem: m.Cap.Mem * 0.5}
+		pool = append(pool, &room{Offer{m.Flavor, m.Zone, m.Spot}, half})
+	}
+	sort.Slice(pool, func(i, j int) bool {
+		a, b := pool[i], pool[j]
+		if a.Offer != b.Offer {
+			return less(a.Offer, b.Offer)
+		}
+		return a.free.CPUs < b.free.CPUs
+	})
+	want := map[Offer]int{}
+	head := map[int]job.Need{}
+	for _, w := range waits {
+		l := w.Job
+		need := l.Need()
+		t := &d.Teams[w.Team]
+		left, known := head[w.Team]
+		if !known {
+			left = t.Limit.Minus(t.Used())
+			left.Mem = math.Inf(1)
+		}
+		n := min(w.Tasks, need.Slots(left))
+		est := max(l.Spec.ExpectedS, 5)
+		share := min(1, est/p.cfg.Horizon.Seconds())
+		slots := int(math.Ceil(float64(n) * share))
+		head[w.Team] = left.Minus(job.Need{CPUs: need.CPUs * float64(n), Acc: need.Acc * float64(n)})
+		for _, r := range pool {
+			if slots <= 0 {
+				break
+			}
+			if !job.Allows(&l.Spec, r.Flavor, r.Zone, r.Spot) {
+				continue
+			}
+			k := min(slots, need.Slots(r.free))
+			r.free = r.free.Minus(job.Need{CPUs: need.CPUs * float64(k), Acc: need.Acc * float64(k), Mem: need.Mem * float64(k)})
+			slots -= k
+		}
+		for slots > 0 {
+			o, c, ok := p.best(now, w, d.Rank(w), need, want)
+			if !ok || p.cfg.MaxBoot > 0 && booting >= p.cfg.MaxBoot {
+				break
+			}
+			want[o]++
+			booting++
+			r := &room{o, c}
+			k := min(slots, need.Slots(c))
+			r.free = r.free.Minus(job.Need{CPUs: need.CPUs * float64(k), Acc: need.Acc * float64(k), Mem: need.Mem * float64(k)})
+			slots -= k
+			pool = append(pool, r)
+		}
+	}
+	for o, n := range want {
+		hires = append(hires, Hire{o, n})
+	}
+	sort.Slice(hires, func(i, j int) bool { return less(hires[i].Offer, hires[j].Offer) })
+	// An idle machine goes when nothing that waits could use it.
+	for _, id := range d.Order() {
+		m := d.Machines[id]
+		if m.Leaving || !m.Heard || m.Tasks+m.Queue > 0 || m.IdleS < p.cfg.Idle.Seconds() {
+			continue
+		}
+		useful := false
+		for _, w := range waits {
+			if job.Allows(&w.Job.Spec, m.Flavor, m.Zone, m.Spot) && w.Job.Need().Fits(m.Cap) && d.Within(w.Job) {
+				useful = true
+				break
+			}
+		}
+		if !useful {
+			leave = append(leave, id)
+		}
+	}
+	sort.Strings(drop)
+	return hires, leave, drop
+}
+
+func less(a, b Offer) bool {
+	if a.Flavor != b.Flavor {
+		return a.Flavor < b.Flavor
+	}
+	if a.Zone != b.Zone {
+		return a.Zone < b.Zone
+	}
+	return a.Spot && !b.Spot
+}
+
+// best is the cheapest offer for a waiting job, by price for each task that a
+// machine holds and with its boot time counted in.
+func (p *Planner) best(now time.Time, w *divide.Wait, rank int, need job.Need, want map[Offer]int) (Offer, job.Need, bool) {
+	var best Offer
+	var room job.Need
+	cost := math.Inf(1)
+	for i := range p.Flavors {
+		f := &p.Flavors[i]
+		c := Cap(f)
+		slots := need.Slots(c)
+		if slots == 0 {
+			continue
+		}
+		for _, z := range f.Yards {
+			for _, spot := range []bool{true, false} {
+				o := Offer{f.Label, z, spot}
+				if !job.Allows(&w.Job.Spec, o.Flavor, o.Zone, spot) || now.Before(p.refused[o]) || want[o] >= 50 {
+					continue
+				}
+				price := f.Rate
+				if spot {
+					price = f.SpotPrice
+				} else if w.Job.Spec.Borrowed && (rank > p.cfg.OrdinaryRank || w.Age < p.cfg.OrdinaryWait) {
+					continue
+				}
+				if price <= 0 && spot {
+					continue
+				}
+				// Spread over zones: one already asked for costs a little more.
+				v := price / float64(slots) * (1 + f.BootS/150) * (1 + 0.02*float64(want[o]))
+				if !spot {
+					v += 1e3
+				}
+				if v < cost {
+					best, room, cost = o, c, v
+				}
+			}
+		}
+	}
+	return best, room, !math.IsInf(cost, 1)
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,88 @@
+// Package wire makes the HTTP calls that the paced clients share.
+package wire
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"junipershelf/protocol"
+)
+
+// ErrUnknown says that nobody can tell whether the call was carried out.
+var ErrUnknown = errors.New("no answer")
+
+// Client calls one service.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New makes a client that keeps at most conns connections.
+func New(addr string, conns int) *Client {
+	d := &net.Dialer{Timeout: time.Second, KeepAlive: -1}
+	return &Client{base: "http://" + addr, http: &http.Client{
+		Transport: &http.Transport{
+			DialContext: d.DialContext, MaxConnsPerHost: conns, MaxIdleConnsPerHost: conns,
+			IdleConnTimeout: 90 * time.Second, DisableCompression: true,
+			ReadBufferSize: 2048, WriteBufferSize: 2048,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// maxReply bounds what is read of an answer.
+const maxReply = 16 << 20
+
+// Raw sends a body as it is and returns the answer's status and body.
+func (c *Client) Raw(ctx context.Context, method, path, kind string, body []byte) (int, []byte, error) {
+	var r io.Reader
+	if body != nil {
+		r = bytes.NewReader(body)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, r)
+	if err != nil {
+		return 0, nil, err
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", kind)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: %v", ErrUnknown, err)
+	}
+	defer resp.Body.Close()
+	out, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: %v", ErrUnknown, err)
+	}
+	return resp.StatusCode, out, nil
+}
+
+// Call sends a CBOR body and decodes the answer of a 200 or, for 404 and 409,
+// of that into out.
+func (c *Client) Call(ctx context.Context, method, path string, body, out any) (int, error) {
+	var raw []byte
+	if body != nil {
+		var err error
+		if raw, err = protocol.Marshal(body); err != nil {
+			return 0, err
+		}
+	}
+	code, reply, err := c.Raw(ctx, method, path, "application/cbor", raw)
+	if err != nil {
+		return 0, err
+	}
+	if out != nil && (code == 200 || code == 409) {
+		if err := protocol.Unmarshal(reply, out); err != nil {
+			// A malformed answer tells nothing of what was done.
+			return 0, fmt.Errorf("%w: malformed answer: %v", ErrUnknown, err)
+		}
+	}
+	return code, nil
+}
--- /dev/null
+++ b/job/job.go
@@ -0,0 +1,145 @@
+// Package job holds job records and the ranges of their finished tasks.
+package job
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+
+	"junipershelf/protocol"
+)
+
+// Task names a task inside the service.
+type Task struct {
+	Job   string
+	Index int
+}
+
+func (t Task) String() string { return protocol.PieceName(t.Job, t.Index) }
+
+// Less orders tasks by job and number.
+func (t Task) Less(u Task) bool {
+	if t.Job != u.Job {
+		return t.Job < u.Job
+	}
+	return t.Index < u.Index
+}
+
+// Record is a live job in the state service.
+type Record struct {
+	Spec protocol.Spec `cbor:"spec"`
+	// At is the time of day of the submission in milliseconds.
+	At   int64  `cbor:"at"`
+	Done string `cbor:"done"`
+}
+
+// Ended is a job that is over.
+type Ended struct {
+	Status string `cbor:"status"`
+	Done   int    `cbor:"done"`
+}
+
+// The final states.
+const (
+	Done      = "done"
+	Cancelled = "cancelled"
+)
+
+// Key and EndedKey are where a job stands while it lives and afterwards. A job
+// moves from the one to the other and never back, so a reader that asks for
+// Key first misses nothing.
+func Key(uid string) string      { return "jobs/" + uid }
+func EndedKey(uid string) string { return "ended/" + uid }
+
+// Ranges is a set of task numbers, kept as sorted [from, to] pairs.
+type Ranges struct{ spans [][2]int }
+
+// ParseRanges reads the form that String writes, such as "0-4,7".
+func ParseRanges(s string) (Ranges, error) {
+	var r Ranges
+	if s == "" {
+		return r, nil
+	}
+	last := -1
+	for part := range strings.SplitSeq(s, ",") {
+		a, b, two := strings.Cut(part, "-")
+		from, err := strconv.Atoi(a)
+		to := from
+		if err == nil && two {
+			to, err = strconv.Atoi(b)
+		}
+		if err != nil || from <= last || to < from {
+			return Ranges{}, fmt.Errorf("ranges: %q", s)
+		}
+		last = to
+		r.spans = append(r.spans, [2]int{from, to})
+	}
+	return r, nil
+}
+
+func (r Ranges) String() string {
+	var b strings.Builder
+	for i, s := range r.spans {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(strconv.Itoa(s[0]))
+		if s[1] > s[0] {
+			b.WriteByte('-')
+			b.WriteString(strconv.Itoa(s[1]))
+		}
+	}
+	return b.String()
+}
+
+// Has tells whether a number is in the set.
+func (r Ranges) Has(i int) bool {
+	k := sort.Search(len(r.spans), func(k int) bool { return r.spans[k][1] >= i })
+	return k < len(r.spans) && r.spans[k][0] <= i
+}
+
+// Add puts a number in and leaves other copies of the set as they are.
+func (r *Ranges) Add(i int) {
+	if r.Has(i) {
+		return
+	}
+	k := sort.Search(len(r.spans), func(k int) bool { return r.spans[k][1] >= i })
+	out := make([][2]int, 0, len(r.spans)+1)
+	out = append(out, r.spans[:k]...)
+	out = append(out, [2]int{i, i})
+	out = append(out, r.spans[k:]...)
+	for k := max(k-1, 0); k+1 < len(out) && k < i+2; {
+		if out[k][1]+1 >= out[k+1][0] {
+			out[k][1] = max(out[k][1], out[k+1][1])
+			out = append(out[:k+1], out[k+2:]...)
+			continue
+		}
+		if out[k][0] > i {
+			break
+		}
+		k++
+	}
+	r.spans = out
+}
+
+// Merge adds all of another set.
+func (r *Ranges) Merge(o Ranges) {
+	for _, s := range o.spans {
+		for i := s[0]; i <= s[1]; i++ {
+			r.Add(i)
+		}
+	}
+}
+
+// Len counts the numbers in the set; Spans counts its pieces.
+func (r Ranges) Len() int {
+	n := 0
+	for _, s := range r.spans {
+		n += s[1] - s[0] + 1
+	}
+	return n
+}
+
+// Spans counts the pieces that the set falls into.
+func (r Ranges) Spans() int { return len(r.spans) }
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,148 @@
+// Package peer is what the controllers say to each other, in msgpack.
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"junipershelf/divide"
+	"junipershelf/internal/wire"
+	"junipershelf/job"
+	"junipershelf/part"
+)
+
+// Sync is an owner's call to the divider.
+type Sync struct {
+	View   uint64      `msgpack:"v"`
+	Index  int         `msgpack:"x"`
+	Digest part.Digest `msgpack:"d"`
+}
+
+// SyncReply is the divider's answer. View is the divider's own; if it differs
+// from the caller's, nothing else holds.
+type SyncReply struct {
+	View    uint64             `msgpack:"v"`
+	OK      bool               `msgpack:"o"`
+	Allot   []divide.Allotment `msgpack:"a"`
+	Leave   []string           `msgpack:"l"`
+	Drop    []string           `msgpack:"p"`
+	Stop    []job.Task         `msgpack:"s"`
+	Fleet   []part.Buddy       `msgpack:"f"`
+	Running map[string]int     `msgpack:"r"`
+}
+
+// Ping tells how a node stands; both sides give theirs.
+type Ping struct {
+	Node    string `msgpack:"n"`
+	View    uint64 `msgpack:"v"`
+	StateMS int64  `msgpack:"s"` // since the state service last answered it
+}
+
+// Forward passes on a worker's report for a node that the worker cannot reach.
+type Forward struct {
+	Body []byte `msgpack:"b"`
+}
+
+// ForwardReply is the answer to pass back.
+type ForwardReply struct {
+	Code int    `msgpack:"c"`
+	Body []byte `msgpack:"b"`
+}
+
+// Node is what serves the calls of others.
+type Node interface {
+	Sync(Sync) SyncReply
+	Ping(Ping) Ping
+	Forward(context.Context, Forward) ForwardReply
+	Show() any
+}
+
+const maxBody = 4 << 20
+
+func handle[Q, A any](f func(context.Context, Q) A) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+		var q Q
+		if err == nil {
+			err = msgpack.Unmarshal(body, &q)
+		}
+		if err != nil {
+			http.Error(w, "malformed", http.StatusBadRequest)
+			return
+		}
+		out, err := msgpack.Marshal(f(r.Context(), q))
+		if err != nil {
+			http.Error(w, "failed", http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Type", "application/msgpack")
+		w.Write(out)
+	}
+}
+
+// Handler serves a node's calls.
+func Handler(n Node) http.Handler {
+	r := chi.NewRouter()
+	r.Post("/sync", handle(func(_ context.Context, q Sync) SyncReply { return n.Sync(q) }))
+	r.Post("/ping", handle(func(_ context.Context, q Ping) Ping { return n.Ping(q) }))
+	r.Post("/forward", handle(n.Forward))
+	r.Post("/show", handle(func(context.Context, map[string]any) any { return n.Show() }))
+	return r
+}
+
+// Client calls another controller.
+type Client struct{ call *wire.Client }
+
+// NewClient makes a client.
+func NewClient(addr string) *Client { return &Client{wire.New(addr, 24)} }
+
+func (c *Client) do(ctx context.Context, path string, timeout time.Duration, q, a any) error {
+	body, err := msgpack.Marshal(q)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	code, reply, err := c.call.Raw(ctx, "POST", path, "application/msgpack", body)
+	if err != nil {
+		return err
+	}
+	if code != 200 {
+		return fmt.Errorf("status %d", code)
+	}
+	if err := msgpack.Unmarshal(reply, a); err != nil {
+		return errors.New("malformed answer")
+	}
+	return nil
+}
+
+// Sync calls the divider.
+func (c *Client) Sync(ctx context.Context, q Sync) (a SyncReply, err error) {
+	err = c.do(ctx, "/sync", 1500*time.Millisecond, q, &a)
+	return
+}
+
+// Ping asks how a node stands.
+func (c *Client) Ping(ctx context.Context, q Ping) (a Ping, err error) {
+	err = c.do(ctx, "/ping", time.Second, q, &a)
+	return
+}
+
+// Forward passes a report on.
+func (c *Client) Forward(ctx context.Context, q Forward) (a ForwardReply, err error) {
+	err = c.do(ctx, "/forward", 2500*time.Millisecond, q, &a)
+	return
+}
+
+// Show reads a node's view, parts, queues and counters.
+func (c *Client) Show(ctx context.Context) (a map[string]any, err error) {
+	err = c.do(ctx, "/show", 3*time.Second, map[string]any{}, &a)
+	return
+}
--- /dev/null
+++ b/policy/default.star
@@ -0,0 +1,27 @@
+# What the platform's settings do not hold. Every name below may be set in an
+# operator's own file; names left out keep these values. Times are in seconds.
+
+buddies = 10            # entries of the preferred list that take overflow
+threshold = 0           # queued tasks beyond which a machine is overloaded
+local_wait_s = 10.0     # overflow waits this long before it walks on
+backlog = 1             # tasks queued on a machine that has no room
+
+grant_part = 0.3        # a node's grant lives this part of the workers' lease
+authority_part = 0.6    # an owner's authority, as a part of that lease
+silent_part = 0.75      # a machine silent for this part of it is returned
+stale_s = 6.0           # no start on knowledge of the jobs older than this
+
+aging_s = 150.0         # waiting this long lifts work by one urgency
+fault_pause_s = 2.0     # a job that fails everywhere pauses, twice as long each time
+fault_max_s = 60.0
+sick_after = 3          # tasks failing on a machine that others complete
+
+horizon_s = 60.0        # the fleet is sized to drain its work in this time
+idle_s = 20.0           # an idle machine is returned after this
+boot_factor = 3.0       # a machine still booting after so many boot times is given up
+boot_slack_s = 5.0
+refusal_s = 10.0        # pause after the cloud had nothing to give
+ordinary_rank = 1       # urgencies up to this (0 critical, 1 urgent) may rent ordinary machines
+ordinary_wait_s = 20.0  # when their work has waited this long and no spot is to be had
+
+team_weights = {}       # a team's share beside its guarantee, by name
--- /dev/null
+++ b/prefer/prefer.go
@@ -0,0 +1,62 @@
+// Package prefer makes the preferred lists of the paper's Definition 2.
+package prefer
+
+import "math/bits"
+
+// Masks gives the XOR masks of an n-cube in the order of Definition 2: groups
+// of growing weight, and in each the first index runs 1..n-k and then 0.
+func Masks(n int) []uint32 {
+	var out []uint32
+	for k := 1; k <= n; k++ {
+		var rest func(from, left int, mask uint32)
+		rest = func(from, left int, mask uint32) {
+			if left == 0 {
+				out = append(out, mask)
+				return
+			}
+			for j := from; j <= n-left; j++ {
+				rest(j+1, left-1, mask|1<<j)
+			}
+		}
+		if k == 1 {
+			rest(0, 1, 0)
+			continue
+		}
+		for j := 1; j <= n-k; j++ {
+			rest(j+1, k-1, 1<<j)
+		}
+		rest(1, k-1, 1)
+	}
+	return out
+}
+
+// Dimension is the n of the smallest cube that holds count nodes.
+func Dimension(count int) int {
+	if count < 2 {
+		return 0
+	}
+	return bits.Len(uint(count - 1))
+}
+
+// List gives the first most entries of node i's list among count nodes; the
+// numbers that no node has are skipped.
+func List(i, count, most int) []int {
+	if count < 2 || most < 1 {
+		return nil
+	}
+	return Pick(Masks(Dimension(count)), i, count, most)
+}
+
+// Pick is List with masks already made.
+func Pick(masks []uint32, i, count, most int) []int {
+	out := make([]int, 0, min(most, count-1))
+	for _, m := range masks {
+		if len(out) == most {
+			break
+		}
+		if j := i ^ int(m); j < count {
+			out = append(out, j)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,329 @@
+// Package roster keeps a node's grant, the view and the authority that follows
+// from it.
+package roster
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"junipershelf/protocol"
+	"junipershelf/state"
+)
+
+// Keys of the state service. They share a prefix so that one read confirms the
+// view and shows who is there.
+const (
+	prefix    = "roster/"
+	ViewKey   = "roster/view"
+	memberKey = "roster/members/"
+)
+
+// Parts is the number of hash buckets that machines fall into.
+const Parts = 16
+
+// Member is one run of a node: its incarnation is the grant's own id.
+type Member struct {
+	Node string `cbor:"node" msgpack:"node"`
+	Inc  uint64 `cbor:"inc" msgpack:"inc"`
+}
+
+// View is an agreed set of members; the first one is the divider.
+type View struct {
+	Number  uint64   `cbor:"number" msgpack:"number"`
+	Members []Member `cbor:"members" msgpack:"members"`
+	Stamp   uint64   `cbor:"-" msgpack:"-"`
+}
+
+// Index is a node's place in the view, -1 if it has none.
+func (v View) Index(m Member) int {
+	for i, o := range v.Members {
+		if o == m {
+			return i
+		}
+	}
+	return -1
+}
+
+// PartOf is the part of a machine; it never changes.
+func PartOf(machine string) int {
+	h := fnv.New32a()
+	h.Write([]byte(machine))
+	return int(h.Sum32() % Parts)
+}
+
+// Owner picks the member that owns a part, by rendezvous hashing over names.
+func (v View) Owner(part int) int {
+	best, at := uint64(0), -1
+	for i, m := range v.Members {
+		h := fnv.New64a()
+		h.Write([]byte{byte(part)})
+		h.Write([]byte(m.Node))
+		s := h.Sum64()
+		s ^= s >> 31
+		s *= 0x9e3779b97f4a7c15
+		s ^= s >> 29
+		if at < 0 || s > best {
+			best, at = s, i
+		}
+	}
+	return at
+}
+
+// OwnerOf is the member that owns a machine.
+func (v View) OwnerOf(machine string) int { return v.Owner(PartOf(machine)) }
+
+// Next is the view that live members call for: old members keep their order,
+// new ones follow. It returns false when the view fits as it is.
+func (v View) Next(live []Member) (View, bool) {
+	alive := map[Member]bool{}
+	for _, m := range live {
+		alive[m] = true
+	}
+	n := View{Number: v.Number + 1}
+	for _, m := range v.Members {
+		if alive[m] {
+			n.Members = append(n.Members, m)
+			delete(alive, m)
+		}
+	}
+	if len(alive) == 0 && len(n.Members) == len(v.Members) {
+		return v, false
+	}
+	for _, m := range live {
+		if alive[m] {
+			n.Members = append(n.Members, m)
+		}
+	}
+	return n, true
+}
+
+// Times are the roster's own.
+type Times struct {
+	Life      time.Duration // of the grant
+	Authority time.Duration // after the last confirmation
+	Every     time.Duration // between confirmations
+}
+
+// Roster runs a node's membership.
+type Roster struct {
+	node  string
+	store *state.Client
+	times Times
+	log   *slog.Logger
+	poke  chan struct{}
+
+	mu        sync.Mutex
+	me        Member
+	view      View
+	seen      time.Time // when this view was first seen
+	confirmed time.Time // when the last good confirmation was sent
+	higher    uint64    // a view number that a peer has seen
+	changed   chan struct{}
+	touched   time.Time
+	differs   time.Time
+}
+
+// New makes a roster.
+func New(node string, store *state.Client, times Times, log *slog.Logger) *Roster {
+	return &Roster{node: node, store: store, times: times, log: log,
+		poke: make(chan struct{}, 1), changed: make(chan struct{}, 1)}
+}
+
+// Changed gets a value when the view has changed.
+func (r *Roster) Changed() <-chan struct{} { return r.changed }
+
+// Times gives the roster's times.
+func (r *Roster) Times() Times { return r.times }
+
+// Now gives the view, this node's member and when the view was first seen.
+func (r *Roster) Now() (View, Member, time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.view, r.me, r.seen
+}
+
+// Holds tells whether this node may act for a view: it is a member, and its
+// last confirmation is younger than the authority time.
+func (r *Roster) Holds(number uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.view.Number == number && r.higher <= number && r.view.Index(r.me) >= 0 &&
+		time.Since(r.confirmed) < r.times.Authority
+}
+
+// Confirmed is when the view was last confirmed.
+func (r *Roster) Confirmed() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.confirmed
+}
+
+// Higher takes a view number that a peer knows of. An older view has no
+// authority from then on, long before its time runs out.
+func (r *Roster) Higher(number uint64) {
+	r.mu.Lock()
+	up := number > r.higher
+	r.higher = max(r.higher, number)
+	behind := r.higher > r.view.Number
+	r.mu.Unlock()
+	if up && behind {
+		select {
+		case r.poke <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Run keeps the membership until the context ends.
+func (r *Roster) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := r.round(ctx)
+		if err != nil {
+			r.log.Debug("roster round failed", "err", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-r.poke:
+		case <-time.After(r.times.Every):
+		}
+	}
+}
+
+func (r *Roster) round(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, 3*state.Timeout)
+	defer cancel()
+	r.mu.Lock()
+	me, touched := r.me, r.touched
+	r.mu.Unlock()
+	sent := time.Now()
+	if me.Inc != 0 && sent.Sub(touched) >= r.times.Life/4 {
+		switch err := r.store.Touch(ctx, me.Inc); {
+		case errors.Is(err, state.ErrNoPermit):
+			me.Inc = 0
+		case err != nil:
+			return err
+		default:
+			r.mu.Lock()
+			r.touched = sent
+			r.mu.Unlock()
+		}
+	}
+	if me.Inc == 0 {
+		var err error
+		if me, err = r.join(ctx); err != nil {
+			return err
+		}
+	}
+	sent = time.Now()
+	entries, _, err := r.store.List(ctx, state.Roster, prefix)
+	if err != nil {
+		return err
+	}
+	var view View
+	var live []Member
+	for _, e := range entries {
+		switch {
+		case e.Key == ViewKey:
+			if err := protocol.Unmarshal(e.Data, &view); err != nil {
+				return err
+			}
+			view.Stamp = e.Stamp
+		case strings.HasPrefix(e.Key, memberKey):
+			var m Member
+			if protocol.Unmarshal(e.Data, &m) == nil && m.Node != "" {
+				live = append(live, m)
+			}
+		}
+	}
+	here := false
+	for _, m := range live {
+		here = here || m == me
+	}
+	if !here {
+		// The grant ran out, or a later start of this node took the name.
+		r.mu.Lock()
+		r.me.Inc = 0
+		r.mu.Unlock()
+		r.take(view, sent)
+		return errors.New("not among the members")
+	}
+	next, differs := view.Next(live)
+	if !differs {
+		r.take(view, sent)
+		r.differs = time.Time{}
+		return nil
+	}
+	r.take(view, sent)
+	if r.differs.IsZero() {
+		r.differs = sent
+	}
+	// The first live member writes at once, the others only if it does not.
+	if next.Members[0] != me && time.Since(r.differs) < 2*r.times.Every {
+		return nil
+	}
+	data, err := protocol.Marshal(next)
+	if err != nil {
+		return err
+	}
+	_, err = r.store.Multi(ctx, state.Roster, protocol.Multi{
+		Guards: []protocol.Guard{{Key: ViewKey, Stamp: view.Stamp}},
+		Then:   []protocol.Change{{Set: ViewKey, Data: data}},
+	})
+	select {
+	case r.poke <- struct{}{}:
+	default:
+	}
+	return err
+}
+
+func (r *Roster) join(ctx context.Context) (Member, error) {
+	sent := time.Now()
+	permit, err := r.store.Grant(ctx, r.times.Life)
+	if err != nil {
+		return Member{}, err
+	}
+	m := Member{Node: r.node, Inc: permit}
+	data, err := protocol.Marshal(m)
+	if err != nil {
+		return Member{}, err
+	}
+	if _, err := r.store.Multi(ctx, state.Roster, protocol.Multi{
+		Then: []protocol.Change{{Set: memberKey + r.node, Data: data, Permit: permit}},
+	}); err != nil {
+		return Member{}, err
+	}
+	r.mu.Lock()
+	r.me, r.touched = m, sent
+	r.mu.Unlock()
+	r.log.Info("joined", "incarnation", permit)
+	return m, nil
+}
+
+// take notes what a confirmation showed; a list may be older than one before.
+func (r *Roster) take(v View, sent time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v.Number < r.view.Number {
+		return
+	}
+	if v.Number > r.view.Number {
+		r.view, r.seen = v, time.Now()
+		names := make([]string, len(v.Members))
+		for i, m := range v.Members {
+			names[i] = m.Node
+		}
+		r.log.Info("view", "number", v.Number, "members", strings.Join(names, " "))
+		select {
+		case r.changed <- struct{}{}:
+		default:
+		}
+	}
+	if sent.After(r.confirmed) {
+		r.confirmed = sent
+	}
+}
--- /dev/null
+++ b/state/state.go
@@ -0,0 +1,241 @@
+// Package state is the paced client of the state service.
+package state
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"junipershelf/internal/wire"
+	"junipershelf/protocol"
+	"junipershelf/settings"
+)
+
+// The outcomes that callers tell apart.
+var (
+	// ErrRefused says that the request was not executed (429 or 503).
+	ErrRefused = errors.New("state service refused")
+	// ErrNoPermit says that the grant is over.
+	ErrNoPermit = errors.New("no such grant")
+	// ErrGone says that a watch is too old.
+	ErrGone = errors.New("watch too old")
+	// ErrUnknown says that the request may have been or may yet be executed.
+	ErrUnknown = wire.ErrUnknown
+)
+
+// Conflict lists the guards that did not hold; nothing was changed.
+type Conflict struct{ Failed []string }
+
+func (c *Conflict) Error() string { return fmt.Sprintf("guards failed: %v", c.Failed) }
+
+// Class orders the calls by how pressing they are.
+type Class int
+
+// The classes: calls of Roster and User go out at once and are paid for by the
+// others, who wait for their turn.
+const (
+	Roster Class = iota
+	User
+	Part
+	Rest
+)
+
+// Client calls the state service within a node's share of its limits.
+type Client struct {
+	call, long *wire.Client
+	requests   *rate.Limiter
+	changes    *rate.Limiter
+	txnOps     int
+	valueBytes int
+
+	mu     sync.Mutex
+	lastOK time.Time
+}
+
+// Timeout is how long a call may take.
+const Timeout = 1500 * time.Millisecond
+
+// New makes a client.
+func New(addr string, lim settings.StateLimits) *Client {
+	return &Client{
+		call: wire.New(addr, 16), long: wire.New(addr, 4),
+		requests: rate.NewLimiter(rate.Limit(lim.RPS*0.5), max(1, int(lim.RPS*0.4))),
+		changes:  rate.NewLimiter(rate.Limit(lim.WriteRPS*0.5), max(lim.TxnOps, int(lim.WriteRPS*0.5))),
+		txnOps:   lim.TxnOps, valueBytes: int(lim.ValueKB * 1024),
+		lastOK: time.Now(),
+	}
+}
+
+// TxnOps is the most changes that a transaction may hold.
+func (c *Client) TxnOps() int { return c.txnOps }
+
+// ValueBytes is the largest value, counted in the JSON form.
+func (c *Client) ValueBytes() int { return c.valueBytes }
+
+// Silence is how long ago the service last answered.
+func (c *Client) Silence() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.lastOK)
+}
+
+func (c *Client) pace(ctx context.Context, class Class, changes int) error {
+	if class <= User {
+		c.requests.ReserveN(time.Now(), 1)
+		if changes > 0 {
+			c.changes.ReserveN(time.Now(), min(changes, c.changes.Burst()))
+		}
+		return nil
+	}
+	if err := c.requests.Wait(ctx); err != nil {
+		return fmt.Errorf("%w: %v", ErrRefused, err)
+	}
+	if changes > 0 {
+		if err := c.changes.WaitN(ctx, min(changes, c.changes.Burst())); err != nil {
+			return fmt.Errorf("%w: %v", ErrRefused, err)
+		}
+	}
+	return nil
+}
+
+func (c *Client) do(ctx context.Context, class Class, changes int, method, path string, body, out any) (int, error) {
+	if err := c.pace(ctx, class, changes); err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, Timeout)
+	defer cancel()
+	return c.finish(c.call.Call(ctx, method, path, body, out))
+}
+
+func (c *Client) finish(code int, err error) (int, error) {
+	if err != nil {
+		return 0, err
+	}
+	switch code {
+	case 429, 503:
+		return code, fmt.Errorf("%w: %d", ErrRefused, code)
+	case 200, 404, 409, 410, 400:
+		c.mu.Lock()
+		c.lastOK = time.Now()
+		c.mu.Unlock()
+		return code, nil
+	}
+	return code, fmt.Errorf("%w: status %d", ErrUnknown, code)
+}
+
+// Get reads a key; Stamp 0 says that it does not exist.
+func (c *Client) Get(ctx context.Context, class Class, key string) (protocol.Entry, error) {
+	var e protocol.Entry
+	code, err := c.do(ctx, class, 0, "GET", "/store/"+key, nil, &e)
+	if err != nil {
+		return e, err
+	}
+	switch code {
+	case 200:
+		return e, nil
+	case 404:
+		return protocol.Entry{Key: key}, nil
+	}
+	return e, fmt.Errorf("%w: status %d", ErrUnknown, code)
+}
+
+// List reads all keys with a prefix. The epoch is that of the first page, so a
+// watch from it misses nothing.
+func (c *Client) List(ctx context.Context, class Class, prefix string) ([]protocol.Entry, uint64, error) {
+	var all []protocol.Entry
+	var epoch uint64
+	since := ""
+	for {
+		path := "/store?under=" + url.QueryEscape(prefix) + "&most=200"
+		if since != "" {
+			path += "&since=" + url.QueryEscape(since)
+		}
+		var page protocol.EntryList
+		code, err := c.do(ctx, class, 0, "GET", path, nil, &page)
+		if err != nil {
+			return nil, 0, err
+		}
+		if code != 200 {
+			return nil, 0, fmt.Errorf("%w: status %d", ErrUnknown, code)
+		}
+		if epoch == 0 {
+			epoch = page.Epoch
+		}
+		all = append(all, page.Entries...)
+		if !page.HasNext || len(page.Entries) == 0 {
+			return all, epoch, nil
+		}
+		since = page.Entries[len(page.Entries)-1].Key
+	}
+}
+
+// Multi runs a transaction and returns its epoch.
+func (c *Client) Multi(ctx context.Context, class Class, m protocol.Multi) (uint64, error) {
+	if m.Guards == nil {
+		m.Guards = []protocol.Guard{}
+	}
+	if m.Then == nil {
+		m.Then = []protocol.Change{}
+	}
+	var r protocol.MultiReply
+	code, err := c.do(ctx, class, len(m.Then), "POST", "/multi", m, &r)
+	if err != nil {
+		return 0, err
+	}
+	switch code {
+	case 200:
+		return r.Epoch, nil
+	case 409:
+		return r.Epoch, &Conflict{Failed: r.Failed}
+	case 400:
+		return 0, ErrNoPermit
+	}
+	return 0, fmt.Errorf("%w: status %d", ErrUnknown, code)
+}
+
+// Grant takes out a lease.
+func (c *Client) Grant(ctx context.Context, life time.Duration) (uint64, error) {
+	var g protocol.Grant
+	code, err := c.do(ctx, Roster, 0, "POST", "/grants", protocol.Grant{LifeMS: int(life.Milliseconds())}, &g)
+	if err == nil && (code != 200 || g.Permit == 0) {
+		err = fmt.Errorf("%w: status %d", ErrUnknown, code)
+	}
+	return g.Permit, err
+}
+
+// Touch renews a lease.
+func (c *Client) Touch(ctx context.Context, permit uint64) error {
+	code, err := c.do(ctx, Roster, 0, "POST", "/grants/"+strconv.FormatUint(permit, 10)+"/touch", struct{}{}, nil)
+	if err == nil && code == 404 {
+		return ErrNoPermit
+	}
+	return err
+}
+
+// Watch waits for changes under a prefix.
+func (c *Client) Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) (protocol.WatchReply, error) {
+	var r protocol.WatchReply
+	if err := c.pace(ctx, Part, 0); err != nil {
+		return r, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+Timeout)
+	defer cancel()
+	path := fmt.Sprintf("/watch?under=%s&since=%d&wait_ms=%d", url.QueryEscape(prefix), since, wait.Milliseconds())
+	code, err := c.finish(c.long.Call(ctx, "GET", path, nil, &r))
+	if err != nil {
+		return r, err
+	}
+	switch code {
+	case 200:
+		return r, nil
+	case 410:
+		return r, ErrGone
+	}
+	return r, fmt.Errorf("%w: status %d", ErrUnknown, code)
+}
