--- a/job/mirror.go
+++ b/job/mirror.go
@@ -39,7 +39,7 @@
 	k := 1 << 20
 	for _, p := range [][2]float64{{n.CPUs, room.CPUs}, {n.Acc, room.Acc}, {n.Mem, room.Mem}} {
 		if p[0] > 0 {
-			k = min(k, int(p[1]/p[0]+slack))
+			k = min(k, int(min(p[1]/p[0]+slack, 1<<20)))
 		}
 	}
 	return max(k, 0)
