--- a/cloud/cloud.go
+++ b/cloud/cloud.go
@@ -39,8 +39,8 @@
 )
 
 // New makes a client.
-func New(addr string, lim settings.CloudLimits) *Client {
-	return &Client{call: wire.New(addr, 8), pace: rate.NewLimiter(rate.Limit(lim.RPS*0.45), max(1, int(lim.RPS*0.5)))}
+func New(dial wire.Dial, addr string, lim settings.CloudLimits) *Client {
+	return &Client{call: wire.New(dial, addr, 8), pace: rate.NewLimiter(rate.Limit(lim.RPS*0.45), max(1, int(lim.RPS*0.5)))}
 }
 
 func (c *Client) do(ctx context.Context, method, path string, body, out any) (int, error) {
--- a/cmd/junipershelf/main.go
+++ b/cmd/junipershelf/main.go
@@ -68,7 +68,7 @@
 	for _, o := range set.Facts.Objectives {
 		log.Info("aim", "kind", o.Kind, "class", o.Class, "share", o.Share, "times", o.Times, "within_s", o.WithinS)
 	}
-	err = controller.New(set, pol, log).Run(ctx)
+	err = controller.New(set, pol, log, controller.Network{}).Run(ctx)
 	if ctx.Err() != nil {
 		for _, o := range set.Facts.Objectives {
 			log.Info("aim", "kind", o.Kind, "class", o.Class, "share", o.Share, "times", o.Times, "within_s", o.WithinS)
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -16,6 +16,7 @@
 	"junipershelf/divide"
 	"junipershelf/fleet"
 	"junipershelf/front"
+	"junipershelf/internal/wire"
 	"junipershelf/job"
 	"junipershelf/part"
 	"junipershelf/peer"
@@ -31,6 +32,7 @@
 	set    *settings.Settings
 	pol    *policy.Policy
 	log    *slog.Logger
+	net    Network
 	store  *state.Client
 	cloud  *cloud.Client
 	roster *roster.Roster
@@ -65,11 +67,20 @@
 	stateMS int64
 }
 
+// Network is how a node listens and calls; the zero value is TCP.
+type Network struct {
+	Listen func(network, addr string) (net.Listener, error)
+	Dial   wire.Dial
+}
+
 // New makes a node.
-func New(set *settings.Settings, pol *policy.Policy, log *slog.Logger) *Controller {
+func New(set *settings.Settings, pol *policy.Policy, log *slog.Logger, nw Network) *Controller {
+	if nw.Listen == nil {
+		nw.Listen = net.Listen
+	}
 	f := set.Facts
-	c := &Controller{set: set, pol: pol, log: log, store: state.New(set.Outside.State, f.State),
-		cloud: cloud.New(set.Outside.Cloud, f.Cloud), peers: map[string]*peer.Client{}, teams: map[string]int{},
+	c := &Controller{set: set, pol: pol, log: log, net: nw, store: state.New(nw.Dial, set.Outside.State, f.State),
+		cloud: cloud.New(nw.Dial, set.Outside.Cloud, f.Cloud), peers: map[string]*peer.Client{}, teams: map[string]int{},
 		flavors: map[string]protocol.Flavor{}, finals: map[string]job.Ended{}, running: map[string]int{},
 		waiting: map[string]bool{}, dirty: make(chan struct{}, 1), settled: make(chan struct{}),
 		loaded: make(chan struct{}), peerUp: map[string]peerState{}, strays: map[string]time.Time{}, said: map[string]int{}}
@@ -77,7 +88,7 @@
 		c.teams[t.Name] = i
 	}
 	for _, p := range set.Known {
-		c.peers[p.NodeName] = peer.NewClient(p.Addr)
+		c.peers[p.NodeName] = peer.NewClient(nw.Dial, p.Addr)
 	}
 	c.mirror = job.NewMirror(c.teams)
 	l := f.Workers.LeaseS
@@ -120,7 +131,7 @@
 		h    http.Handler
 		most int
 	}{{c.set.Front, front.Handler(c), c.set.Facts.Resources.MaxSockets * 3 / 4}, {c.set.Internal, peer.Handler(c), c.set.Facts.Resources.MaxSockets / 10}} {
-		l, err := net.Listen("tcp4", s.addr)
+		l, err := c.net.Listen("tcp4", s.addr)
 		if err != nil {
 			return err
 		}
@@ -132,7 +143,7 @@
 		g.Go(func() error { <-ctx.Done(); return srv.Close() })
 	}
 	for _, loop := range []func(context.Context){c.roster.Run, c.viewLoop, c.mirrorLoop, c.tickLoop, c.commitLoop,
-		c.syncLoop, c.divideLoop, c.hireLoop, c.returnLoop, c.flavorLoop, c.listLoop, c.pingLoop} {
+		c.syncLoop, c.divideLoop, c.returnLoop, c.flavorLoop, c.listLoop, c.pingLoop} {
 		g.Go(func() error { loop(ctx); return ctx.Err() })
 	}
 	return g.Wait()
--- /dev/null
+++ b/controller/day_test.go
@@ -0,0 +1,469 @@
+package controller_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"junipershelf/controller"
+	"junipershelf/internal/standin"
+	"junipershelf/policy"
+	"junipershelf/protocol"
+	"junipershelf/settings"
+)
+
+const facts = `
+[facts]
+nodes = 3
+zones = ["east", "west"]
+clock_error_ms = 20.0
+[[facts.teams]]
+name = "red"
+cpus = 8.0
+cpus_max = 12.0
+gpus = 0.0
+gpus_max = 0.0
+[[facts.teams]]
+name = "blue"
+cpus = 8.0
+cpus_max = 20.0
+gpus = 0.0
+gpus_max = 0.0
+[facts.workers]
+report_s = 1.5
+lease_s = 10.0
+cancel_s = 30.0
+[facts.state]
+rps = 500.0
+write_rps = 200.0
+value_kb = 8.0
+txn_ops = 16
+[facts.cloud]
+rps = 20.0
+list_lag_s = 2.0
+[facts.resources]
+cpu = 0.5
+mem_mb = 125.0
+max_sockets = 400
+`
+
+var nodeNames = []string{"n0", "n1", "n2"}
+
+// day is three controllers with stand-ins for all that is around them.
+type day struct {
+	t     *testing.T
+	ctx   context.Context
+	net   *standin.Net
+	store *standin.Store
+	cloud *standin.Cloud
+	log   *lockedBuffer
+
+	mu    sync.Mutex
+	stops map[string]context.CancelFunc
+	ended map[string]chan struct{}
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func newDay(t *testing.T, ctx context.Context, seed uint64) *day {
+	t.Helper()
+	d := &day{t: t, ctx: ctx, net: standin.NewNet(), store: standin.NewStore(8192), log: &lockedBuffer{},
+		stops: map[string]context.CancelFunc{}, ended: map[string]chan struct{}{}}
+	d.cloud = standin.NewCloud(ctx, d.net, seed, standin.Rules{Lease: 10 * time.Second, Report: 1500 * time.Millisecond,
+		Cancel: 30 * time.Second, Limits: map[string]float64{"red": 12, "blue": 20}},
+		[]protocol.Flavor{{Label: "quad", CPUs: 4, MemGB: 32, CacheGB: 70, PullGBPerS: 0.5, Rate: 0.3, SpotPrice: 0.1, BootS: 5, Yards: []string{"east", "west"}}})
+	d.cloud.Room["quad"] = 8
+	for i, n := range nodeNames {
+		d.cloud.Nodes[n] = fmt.Sprintf("%s:%d", n, 8080)
+		_ = i
+	}
+	if err := d.store.Serve(ctx, d.net, "state:2379"); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.cloud.Serve(ctx, "cloud:8443"); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range nodeNames {
+		d.start(n)
+	}
+	return d
+}
+
+// parse makes a node's settings; the addresses of the network in memory are
+// names, which the platform's file never has.
+func parse(t *testing.T, node string) *settings.Settings {
+	t.Helper()
+	text := fmt.Sprintf("node_name = %q\ndomain = \"east\"\nfront = \"10.0.0.1:8080\"\ninternal_addr = \"10.0.0.1:8081\"\n", node)
+	for _, n := range nodeNames {
+		if n != node {
+			text += fmt.Sprintf("[[known]]\nnode_name = %q\ndomain = \"east\"\naddr = \"10.0.0.2:8081\"\n", n)
+		}
+	}
+	s, err := settings.Parse([]byte(text + "[outside]\ncloud = \"10.0.0.9:8443\"\nstate = \"10.0.0.9:2379\"\n" + facts))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Front, s.Internal, s.Outside.Cloud, s.Outside.State = node+":8080", node+":8081", "cloud:8443", "state:2379"
+	for i := range s.Known {
+		s.Known[i].Addr = s.Known[i].NodeName + ":8081"
+	}
+	return s
+}
+
+func (d *day) start(node string) {
+	pol, err := policy.Load("")
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(d.ctx)
+	log := slog.New(slog.NewTextHandler(d.log, &slog.HandlerOptions{Level: slog.LevelInfo})).With("node", node)
+	c := controller.New(parse(d.t, node), pol, log, controller.Network{Listen: d.net.Listen, Dial: d.net.Dialer(node)})
+	done := make(chan struct{})
+	d.mu.Lock()
+	d.stops[node], d.ended[node] = stop, done
+	d.mu.Unlock()
+	go func() {
+		defer close(done)
+		if err := c.Run(ctx); ctx.Err() == nil {
+			d.t.Errorf("%s ended by itself: %v", node, err)
+		}
+	}()
+}
+
+// crash ends a node with no warning to anybody and starts it again.
+func (d *day) crash(node string, away time.Duration) {
+	d.mu.Lock()
+	stop, done := d.stops[node], d.ended[node]
+	d.mu.Unlock()
+	stop()
+	d.net.Crash(node)
+	<-done
+	time.Sleep(away)
+	d.start(node)
+}
+
+// call asks the nodes in turn until one gives an answer that is no 503.
+func (d *day) call(method, path string, body any) (int, protocol.JobStatus) {
+	cl := &http.Client{Transport: &http.Transport{DialContext: d.net.Dialer("user")}, Timeout: 5 * time.Second}
+	defer cl.CloseIdleConnections()
+	raw, err := protocol.Marshal(body)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	for try := range 60 {
+		req, _ := http.NewRequest(method, "http://"+nodeNames[try%3]+":8080"+path, bytes.NewReader(raw))
+		resp, err := cl.Do(req)
+		if err == nil {
+			out, _ := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if resp.StatusCode == 503 && resp.Header.Get("Retry-After") == "" {
+				d.t.Errorf("%s %s: 503 without Retry-After", method, path)
+			}
+			if resp.StatusCode != 503 {
+				var s protocol.JobStatus
+				_ = protocol.Unmarshal(out, &s)
+				return resp.StatusCode, s
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	d.t.Fatalf("%s %s: never answered", method, path)
+	return 0, protocol.JobStatus{}
+}
+
+func spec(uid, team string, pieces int) map[string]any {
+	return map[string]any{"uid": uid, "queue": "q-" + team, "owner": team, "shape": "array", "urgency": "normal", "pieces": pieces,
+		"cpus": 1.0, "accelerators": 0.0, "mem_gb": 2.0, "bundle": "img-" + team, "size_gb": 1.0, "flavors": nil, "yard": nil,
+		"together": false, "scatter": false, "borrowed": true, "expected_s": 5.0, "snapshot_s": 0.0, "stash_s": 0.0, "due_s": nil}
+}
+
+func (d *day) submit(m map[string]any) {
+	d.t.Helper()
+	raw, _ := protocol.Marshal(m)
+	s, err := protocol.ParseSpec(raw)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.cloud.Know(s)
+	if code, _ := d.call("POST", "/api/jobs", m); code != 201 && code != 200 {
+		d.t.Fatalf("submission of %s: %d", s.UID, code)
+	}
+}
+
+// await polls until a job is over and checks that finals never change.
+func (d *day) await(uid string, limit time.Duration) string {
+	d.t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(2 * time.Second) {
+		code, s := d.call("GET", "/api/jobs/"+uid, map[string]any{})
+		if code != 200 {
+			d.t.Fatalf("poll of %s: %d", uid, code)
+		}
+		if s.Status == "done" || s.Status == "cancelled" {
+			return s.Status
+		}
+	}
+	return "late"
+}
+
+// judge ends the day: no rule was broken, and each task's result is there once
+// at least.
+func (d *day) judge(jobs map[string]int) {
+	d.t.Helper()
+	d.cloud.Lock(func() {
+		for _, f := range d.cloud.Faults {
+			d.t.Errorf("broken: %s", f)
+		}
+		for uid, n := range jobs {
+			for i := range n {
+				if d.cloud.Results[protocol.PieceName(uid, i)] == 0 {
+					d.t.Errorf("%s is called done, but task %d never completed", uid, i)
+				}
+			}
+		}
+	})
+	if d.store.TooBig > 0 {
+		d.t.Errorf("%d values over the limit", d.store.TooBig)
+	}
+	if d.t.Failed() {
+		d.t.Log(d.log.b.String())
+	}
+}
+
+func (d *day) finish(jobs map[string]int, limit time.Duration) {
+	d.t.Helper()
+	for uid := range jobs {
+		if s := d.await(uid, limit); s != "done" {
+			d.t.Errorf("%s: %s", uid, s)
+		}
+	}
+	d.judge(jobs)
+}
+
+func play(t *testing.T, f func(t *testing.T, d *day)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		d := newDay(t, ctx, 1)
+		f(t, d)
+		stop()
+		d.net.Cut(nil)
+		for _, n := range nodeNames {
+			d.net.Crash(n)
+			<-d.ended[n]
+		}
+		time.Sleep(20 * time.Second)
+	})
+}
+
+func TestQuietDay(t *testing.T) {
+	play(t, func(t *testing.T, d *day) {
+		jobs := map[string]int{"wk-1": 20, "wk-2": 30, "wk-3": 1}
+		d.submit(spec("wk-1", "red", 20))
+		d.submit(spec("wk-2", "blue", 30))
+		d.submit(spec("wk-3", "blue", 1))
+		d.finish(jobs, 3*time.Minute)
+		// Repeats of a known job are 200 for ever, whichever node answers.
+		for range 3 {
+			if code, s := d.call("POST", "/api/jobs", spec("wk-1", "red", 20)); code != 200 || s.Status != "done" {
+				t.Errorf("repeat: %d %q", code, s.Status)
+			}
+		}
+		if code, s := d.call("POST", "/api/jobs/wk-1/cancel", map[string]any{}); code != 200 || s.Status != "done" {
+			t.Errorf("cancel after done: %d %q", code, s.Status)
+		}
+		if code, _ := d.call("GET", "/api/jobs/wk-99", map[string]any{}); code != 404 {
+			t.Errorf("unknown job: %d", code)
+		}
+		// The fleet shrinks after the work.
+		time.Sleep(2 * time.Minute)
+		if m := d.cloud.Machines(); len(m) > 0 {
+			t.Errorf("still rented after the work: %v", m)
+		}
+		if !strings.Contains(d.log.b.String(), "msg=path") {
+			t.Error("the ordinary path's counts are not in the log")
+		}
+	})
+}
+
+func TestBadSubmissions(t *testing.T) {
+	play(t, func(t *testing.T, d *day) {
+		time.Sleep(3 * time.Second)
+		for name, c := range map[string]struct {
+			change func(m map[string]any)
+			code   int
+		}{
+			"missing field":     {func(m map[string]any) { delete(m, "cpus") }, 400},
+			"wrong kind":        {func(m map[string]any) { m["pieces"] = "many" }, 400},
+			"no tasks":          {func(m map[string]any) { m["pieces"] = 0 }, 400},
+			"too many tasks":    {func(m map[string]any) { m["pieces"] = 100001 }, 400},
+			"unknown urgency":   {func(m map[string]any) { m["urgency"] = "now" }, 400},
+			"bad id":            {func(m map[string]any) { m["uid"] = "x y" }, 400},
+			"negative":          {func(m map[string]any) { m["mem_gb"] = -1.0 }, 400},
+			"unknown team":      {func(m map[string]any) { m["owner"] = "green" }, 422},
+			"over the limit":    {func(m map[string]any) { m["cpus"] = 13.0 }, 422},
+			"fits no machine":   {func(m map[string]any) { m["mem_gb"] = 33.0 }, 422},
+			"unknown flavor":    {func(m map[string]any) { m["flavors"] = []string{"giga"} }, 422},
+			"unknown zone":      {func(m map[string]any) { m["yard"] = "north" }, 422},
+			"needs accelerator": {func(m map[string]any) { m["accelerators"] = 1.0 }, 422},
+			"unknown extra":     {func(m map[string]any) { m["colour"] = "red" }, 201},
+		} {
+			m := spec("wk-7", "red", 2)
+			c.change(m)
+			if code, _ := d.call("POST", "/api/jobs", m); code != c.code {
+				t.Errorf("%s: %d, want %d", name, code, c.code)
+			}
+		}
+		if code, _ := d.call("POST", "/api/jobs", []int{1}); code != 400 {
+			t.Errorf("a list: %d", code)
+		}
+		big := spec("wk-8", "red", 1)
+		big["pad"] = strings.Repeat("x", 70000)
+		if code, _ := d.call("POST", "/api/jobs", big); code != 400 {
+			t.Errorf("over 64 KiB: %d", code)
+		}
+	})
+}
+
+func TestCancelStopsTasks(t *testing.T) {
+	play(t, func(t *testing.T, d *day) {
+		d.cloud.RunFor = func(string) time.Duration { return 10 * time.Minute }
+		d.submit(spec("wk-1", "red", 10))
+		time.Sleep(30 * time.Second)
+		if code, s := d.call("POST", "/api/jobs/wk-1/cancel", map[string]any{}); code != 200 || s.Status != "cancelled" {
+			t.Fatalf("cancel: %d %q", code, s.Status)
+		}
+		d.cloud.Cancelled("wk-1")
+		time.Sleep(20 * time.Second)
+		if n := d.cloud.Active("wk-1"); n > 0 {
+			t.Errorf("%d tasks of a cancelled job are still there after 20 s", n)
+		}
+		for range 3 {
+			if code, s := d.call("POST", "/api/jobs", spec("wk-1", "red", 10)); code != 200 || s.Status != "cancelled" {
+				t.Errorf("repeat: %d %q", code, s.Status)
+			}
+		}
+		d.judge(nil)
+	})
+}
+
+func TestPlacementRules(t *testing.T) {
+	play(t, func(t *testing.T, d *day) {
+		together, scatter, yard, owned := spec("wk-1", "blue", 9), spec("wk-2", "red", 5), spec("wk-3", "blue", 4), spec("wk-4", "red", 4)
+		together["together"], scatter["scatter"], yard["yard"], owned["borrowed"] = true, true, "west", false
+		for _, m := range []map[string]any{together, scatter, yard, owned} {
+			d.submit(m)
+		}
+		d.finish(map[string]int{"wk-1": 9, "wk-2": 5, "wk-3": 4, "wk-4": 4}, 5*time.Minute)
+	})
+}
+
+// TestDrawnTroubles plays days with crashes, rolls, cuts, outages, lost answers
+// and late repeats, hanging and vanishing machines.
+func TestDrawnTroubles(t *testing.T) {
+	for seed := uint64(1); seed <= 6; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			play(t, func(t *testing.T, d *day) {
+				rng := rand.New(rand.NewPCG(seed, 2))
+				var fm sync.Mutex
+				frng := rand.New(rand.NewPCG(seed, 3))
+				chance := func(p float64) func() bool {
+					return func() bool { fm.Lock(); defer fm.Unlock(); return frng.Float64() < p }
+				}
+				d.store.Faults(chance(0.05), chance(0.05))
+				jobs := map[string]int{}
+				for i := range 8 {
+					uid := fmt.Sprintf("wk-%d", i+1)
+					team := []string{"red", "blue"}[rng.IntN(2)]
+					jobs[uid] = 1 + rng.IntN(25)
+					d.submit(spec(uid, team, jobs[uid]))
+					time.Sleep(time.Duration(rng.IntN(4)) * time.Second)
+					trouble := rng.IntN(8)
+					node := nodeNames[rng.IntN(3)]
+					switch trouble {
+					case 0:
+						d.crash(node, time.Duration(rng.IntN(5000))*time.Millisecond)
+					case 1:
+						for _, n := range nodeNames {
+							d.crash(n, 200*time.Millisecond)
+						}
+					case 2: // a node loses the state service alone
+						d.net.Cut(func(a, b string) bool { return a == node && b == "state" || a == "state" && b == node })
+						time.Sleep(time.Duration(3+rng.IntN(12)) * time.Second)
+						d.net.Cut(nil)
+					case 3: // a node loses the workers
+						d.net.Cut(func(a, b string) bool {
+							return a == node && strings.HasPrefix(b, "i-") || b == node && strings.HasPrefix(a, "i-")
+						})
+						time.Sleep(time.Duration(3+rng.IntN(12)) * time.Second)
+						d.net.Cut(nil)
+					case 4:
+						d.store.Outage(func(string) bool { return true })
+						time.Sleep(time.Duration(2+rng.IntN(12)) * time.Second)
+						d.store.Outage(nil)
+					case 5:
+						if m := d.cloud.Machines(); len(m) > 0 {
+							d.cloud.Take(m[rng.IntN(len(m))])
+						}
+					case 6:
+						if m := d.cloud.Machines(); len(m) > 0 {
+							d.cloud.Hang(m[rng.IntN(len(m))], time.Duration(rng.IntN(25))*time.Second)
+						}
+					case 7: // refused by the state service alone
+						d.store.Outage(func(from string) bool { return from == node })
+						time.Sleep(time.Duration(3+rng.IntN(12)) * time.Second)
+						d.store.Outage(nil)
+					}
+				}
+				d.finish(jobs, 6*time.Minute)
+			})
+		})
+	}
+}
+
+func TestDudsSickMachinesAndBrokenJobs(t *testing.T) {
+	play(t, func(t *testing.T, d *day) {
+		d.cloud.Lock(func() {
+			d.cloud.Sick["i-000001"] = true
+			d.cloud.Broken["wk-3"] = true
+			d.cloud.Dud = func(id string) bool { return id == "i-000002" }
+		})
+		d.submit(spec("wk-3", "red", 3))
+		d.submit(spec("wk-1", "red", 12))
+		d.submit(spec("wk-2", "blue", 16))
+		d.finish(map[string]int{"wk-1": 12, "wk-2": 16}, 4*time.Minute)
+		for _, m := range d.cloud.Machines() {
+			if m == "i-000001" || m == "i-000002" {
+				t.Errorf("%s is still rented", m)
+			}
+		}
+		before := 0
+		d.cloud.Lock(func() { before = d.cloud.Starts })
+		time.Sleep(2 * time.Minute)
+		d.cloud.Lock(func() {
+			if n := d.cloud.Starts - before; n > 30 {
+				t.Errorf("a job that fails everywhere was started %d times in two minutes", n)
+			}
+		})
+		if code, s := d.call("POST", "/api/jobs/wk-3/cancel", map[string]any{}); code != 200 || s.Status != "cancelled" {
+			t.Errorf("cancel: %d %q", code, s.Status)
+		}
+	})
+}
--- a/controller/loops.go
+++ b/controller/loops.go
@@ -190,13 +190,6 @@
 	}
 }
 
-// hireLoop is the cloud's housekeeping: nothing of its own yet beyond prices.
-func (c *Controller) hireLoop(ctx context.Context) {
-	for sleep(ctx, 60*time.Second) {
-		c.readFlavors(ctx)
-	}
-}
-
 func (c *Controller) readFlavors(ctx context.Context) bool {
 	fl, err := c.cloud.Flavors(ctx)
 	if err != nil || len(fl) == 0 {
@@ -212,8 +205,14 @@
 	return true
 }
 
+// flavorLoop reads the catalogue, and its moving prices once a minute.
 func (c *Controller) flavorLoop(ctx context.Context) {
-	for !c.readFlavors(ctx) && sleep(ctx, time.Second) {
+	for ctx.Err() == nil {
+		wait := time.Minute
+		if !c.readFlavors(ctx) {
+			wait = time.Second
+		}
+		sleep(ctx, wait)
 	}
 }
 
@@ -231,8 +230,7 @@
 				c.mu.Lock()
 				plan.List(time.Now(), hosts)
 				c.mu.Unlock()
-			}
-			if err != nil || plan != c.plan {
+			} else {
 				wait = time.Second
 			}
 		} else {
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,510 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"junipershelf/protocol"
+)
+
+// Rules are those of a deployment that the judge checks.
+type Rules struct {
+	Lease  time.Duration
+	Report time.Duration
+	Cancel time.Duration
+	Limits map[string]float64 // CPUs by team
+}
+
+// Cloud rents out workers and judges what runs on them.
+type Cloud struct {
+	mu      sync.Mutex
+	net     *Net
+	rng     *rand.Rand
+	rules   Rules
+	Nodes   map[string]string // front addresses by node name
+	Flavors []protocol.Flavor
+	Room    map[string]int // machines left, by flavor
+
+	ctx     context.Context
+	next    int
+	hires   map[string][]string
+	workers map[string]*worker
+	specs   map[string]*protocol.Spec
+	gone    map[string]time.Time // cancelled jobs
+
+	RunFor  func(piece string) time.Duration
+	Sick    map[string]bool // machines that fail every task
+	Broken  map[string]bool // jobs that fail everywhere
+	Dud     func(id string) bool
+	Down    bool
+	Results map[string]int
+	Faults  []string
+	Starts  int
+}
+
+// NewCloud makes a cloud whose workers report to nodes.
+func NewCloud(ctx context.Context, n *Net, seed uint64, rules Rules, flavors []protocol.Flavor) *Cloud {
+	return &Cloud{net: n, rng: rand.New(rand.NewPCG(seed, 1)), rules: rules, Nodes: map[string]string{}, Flavors: flavors,
+		Room: map[string]int{}, ctx: ctx, hires: map[string][]string{}, workers: map[string]*worker{},
+		specs: map[string]*protocol.Spec{}, gone: map[string]time.Time{}, Results: map[string]int{},
+		Sick: map[string]bool{}, Broken: map[string]bool{},
+		RunFor: func(string) time.Duration { return 5 * time.Second }}
+}
+
+// Know tells the workers of a job, as its user's upload does.
+func (c *Cloud) Know(s *protocol.Spec) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.specs[s.UID] = s
+}
+
+// Cancelled notes when a user was told so.
+func (c *Cloud) Cancelled(uid string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gone[uid] = time.Now()
+}
+
+// Lock runs f while nothing else changes.
+func (c *Cloud) Lock(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f()
+}
+
+// Machines lists those that are rented.
+func (c *Cloud) Machines() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.names()
+}
+
+func (c *Cloud) names() []string {
+	var out []string
+	for id := range c.workers {
+		out = append(out, id)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Take takes a machine back without notice.
+func (c *Cloud) Take(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w := c.workers[id]; w != nil {
+		w.end()
+		delete(c.workers, id)
+	}
+}
+
+// Hang stops a machine for a while; it may go on within its lease.
+func (c *Cloud) Hang(id string, d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w := c.workers[id]; w != nil {
+		w.hung = time.Now().Add(d)
+	}
+}
+
+func (c *Cloud) fault(format string, a ...any) {
+	c.Faults = append(c.Faults, fmt.Sprintf(format, a...))
+}
+
+type run struct {
+	piece  string
+	try    uint64
+	status string
+	cause  string
+	timer  *time.Timer
+}
+
+type worker struct {
+	c      *Cloud
+	id     string
+	flavor protocol.Flavor
+	zone   string
+	spot   bool
+	born   time.Time
+	upAt   time.Time
+	shift  uint64
+	tick   uint64
+	baton  uint64
+	okSent time.Time
+	runs   map[string]*run
+	images map[string]bool
+	stop   context.CancelFunc
+	hung   time.Time
+	kick   chan struct{}
+	dead   bool
+}
+
+func (w *worker) end() {
+	w.dead = true
+	w.stop()
+	for _, r := range w.runs {
+		r.timer.Stop()
+	}
+	w.runs = map[string]*run{}
+}
+
+// Serve serves the cloud's interface.
+func (c *Cloud) Serve(ctx context.Context, a string) error {
+	r := chi.NewRouter()
+	r.Use(func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			c.mu.Lock()
+			down := c.Down
+			c.mu.Unlock()
+			if down {
+				reply(w, 503, protocol.Problem{Error: "trouble"})
+				return
+			}
+			next.ServeHTTP(w, r)
+		})
+	})
+	r.Get("/flavors", func(w http.ResponseWriter, _ *http.Request) { reply(w, 200, protocol.Flavors{Flavors: c.Flavors}) })
+	r.Post("/machines", func(w http.ResponseWriter, r *http.Request) {
+		var h protocol.Hire
+		if !body(r, &h) {
+			reply(w, 400, protocol.Problem{Error: "malformed"})
+			return
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		ids, again := c.hires[h.Hire]
+		if !again {
+			for range min(h.HowMany, c.Room[h.Flavor]) {
+				ids = append(ids, c.rent(h))
+			}
+			if ids == nil {
+				reply(w, 503, protocol.Problem{Error: "no capacity"})
+				return
+			}
+			c.Room[h.Flavor] -= len(ids)
+			c.hires[h.Hire] = ids
+		}
+		reply(w, 200, protocol.Hosts{Hosts: ids})
+	})
+	r.Post("/machines/return", func(w http.ResponseWriter, r *http.Request) {
+		var h protocol.Hosts
+		body(r, &h)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for _, id := range h.Hosts {
+			if x := c.workers[id]; x != nil {
+				x.end()
+				delete(c.workers, id)
+				c.Room[x.flavor.Label]++
+			}
+		}
+		reply(w, 200, protocol.Problem{})
+	})
+	r.Get("/machines", func(w http.ResponseWriter, _ *http.Request) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		var l protocol.HostList
+		for _, id := range c.names() {
+			x := c.workers[id]
+			st := "running"
+			if time.Now().Before(x.upAt) {
+				st = "booting"
+			}
+			l.Hosts = append(l.Hosts, protocol.Host{UID: id, Endpoint: id + ":9000", Flavor: x.flavor.Label, Yard: x.zone,
+				Borrowed: x.spot, Status: st, HeldS: time.Since(x.born).Seconds()})
+		}
+		reply(w, 200, l)
+	})
+	return serve(ctx, c.net, a, r)
+}
+
+func (c *Cloud) rent(h protocol.Hire) string {
+	c.next++
+	id := fmt.Sprintf("i-%06d", c.next)
+	var f protocol.Flavor
+	for _, x := range c.Flavors {
+		if x.Label == h.Flavor {
+			f = x
+		}
+	}
+	ctx, stop := context.WithCancel(c.ctx)
+	boot := time.Duration(f.BootS * (0.6 + 0.9*c.rng.Float64()) * float64(time.Second))
+	if c.Dud != nil && c.Dud(id) {
+		boot = time.Hour
+	}
+	w := &worker{c: c, id: id, flavor: f, zone: h.Yard, spot: h.Borrowed, born: time.Now(), upAt: time.Now().Add(boot),
+		shift: 1, runs: map[string]*run{}, images: map[string]bool{}, stop: stop, kick: make(chan struct{}, 1)}
+	c.workers[id] = w
+	go w.live(ctx, boot)
+	return id
+}
+
+func (w *worker) live(ctx context.Context, boot time.Duration) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(boot):
+	}
+	cl := &http.Client{Transport: &http.Transport{DialContext: w.c.net.Dialer(w.id)}, Timeout: 4 * time.Second}
+	defer cl.CloseIdleConnections()
+	w.c.mu.Lock()
+	names := make([]string, 0, len(w.c.Nodes))
+	for n := range w.c.Nodes {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	at := w.c.rng.IntN(len(names))
+	w.okSent = time.Now()
+	w.c.mu.Unlock()
+	go func() { // the lease runs even while a report is under way
+		for ctx.Err() == nil {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(100 * time.Millisecond):
+			}
+			w.c.mu.Lock()
+			w.expire()
+			w.c.mu.Unlock()
+		}
+	}()
+	for ctx.Err() == nil {
+		w.c.mu.Lock()
+		hung := time.Until(w.hung)
+		w.c.mu.Unlock()
+		if hung > 0 {
+			time.Sleep(hung)
+			continue
+		}
+		sent := time.Now()
+		w.c.mu.Lock()
+		w.expire()
+		shift := w.shift
+		raw, err := protocol.Marshal(w.report())
+		w.c.mu.Unlock()
+		if err != nil {
+			panic(err)
+		}
+		wait := time.Duration(float64(w.c.rules.Report) * (0.75 + 0.5*rand.Float64()))
+		resp, err := cl.Post("http://"+w.c.Nodes[names[at]]+"/agent/beat", "application/cbor", bytes.NewReader(raw))
+		if err != nil {
+			at, wait = (at+1)%len(names), time.Second
+		} else {
+			out, _ := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			switch resp.StatusCode {
+			case 200:
+				var r protocol.BeatReply
+				if protocol.Unmarshal(out, &r) == nil {
+					w.take(&r, shift, sent)
+				}
+			case 421:
+				var f protocol.Foreman
+				_ = protocol.Unmarshal(out, &f)
+				next := sort.SearchStrings(names, f.Foreman)
+				if next < len(names) && names[next] == f.Foreman && next != at {
+					at, wait = next, 50*time.Millisecond
+				} else {
+					at, wait = (at+1)%len(names), time.Second
+				}
+			default:
+				at, wait = (at+1)%len(names), time.Second
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		case <-w.kick:
+			time.Sleep(500 * time.Millisecond)
+		}
+	}
+}
+
+func (w *worker) changed() {
+	select {
+	case w.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (w *worker) expire() {
+	if !w.okSent.IsZero() && time.Since(w.okSent) > w.c.rules.Lease {
+		for _, r := range w.runs {
+			r.timer.Stop()
+		}
+		w.runs = map[string]*run{}
+		w.shift++
+		w.okSent = time.Now()
+		w.changed()
+	}
+}
+
+func (w *worker) report() any {
+	w.tick++
+	pieces := []map[string]any{}
+	for _, r := range w.runs {
+		p := map[string]any{"piece": r.piece, "try": r.try, "status": r.status}
+		if r.status == "ended" {
+			p["cause"] = r.cause
+		}
+		pieces = append(pieces, p)
+	}
+	return map[string]any{"host": w.id, "endpoint": w.id + ":9000", "flavor": w.flavor.Label, "yard": w.zone,
+		"borrowed": w.spot, "shift": w.shift, "tick": w.tick, "baton": w.baton, "warning_s": nil, "pieces": pieces}
+}
+
+func (w *worker) take(r *protocol.BeatReply, shift uint64, sent time.Time) {
+	w.c.mu.Lock()
+	defer w.c.mu.Unlock()
+	w.expire()
+	if w.dead || r.Baton < w.baton || shift != w.shift {
+		return
+	}
+	if r.Baton > w.baton {
+		w.baton = r.Baton
+		w.changed()
+	}
+	w.okSent = sent
+	for _, o := range r.Orders {
+		x := w.runs[o.Piece]
+		switch o.Verb {
+		case "start":
+			if x != nil && x.try == o.Try {
+				continue
+			}
+			w.start(o, x)
+		case "kill":
+			if x != nil && x.try == o.Try && x.status != "ended" {
+				x.timer.Stop()
+				x.status, x.cause = "ended", "halted"
+			}
+		case "forget":
+			if x != nil && x.try == o.Try && x.status == "ended" {
+				delete(w.runs, o.Piece)
+			}
+		}
+		w.changed()
+	}
+}
+
+func (w *worker) start(o protocol.Order, x *run) {
+	uid, _, _ := strings.Cut(o.Piece, "/")
+	s := w.c.specs[uid]
+	n := &run{piece: o.Piece, try: o.Try, status: "ended", timer: time.NewTimer(0)}
+	refuse := func(cause string) {
+		n.cause = cause
+		if x == nil {
+			w.runs[o.Piece] = n
+		}
+	}
+	if s == nil {
+		refuse("no_such")
+		return
+	}
+	if x != nil {
+		refuse("busy")
+		return
+	}
+	used := s.CPUs
+	for _, r := range w.runs {
+		u, _, _ := strings.Cut(r.piece, "/")
+		if r.status != "ended" {
+			used += w.c.specs[u].CPUs
+		}
+	}
+	if used > w.flavor.CPUs+1e-9 {
+		refuse("full")
+		return
+	}
+	fetch := time.Duration(0)
+	if !w.images[s.Bundle] {
+		fetch = time.Duration(s.SizeGB / w.flavor.PullGBPerS * float64(time.Second))
+	}
+	n.status = "fetching"
+	w.runs[o.Piece] = n
+	n.timer = time.AfterFunc(fetch, func() {
+		w.c.mu.Lock()
+		defer w.c.mu.Unlock()
+		if w.dead || w.runs[o.Piece] != n || n.status != "fetching" {
+			return
+		}
+		w.images[s.Bundle] = true
+		n.status = "running"
+		w.c.judge(w, n, s)
+		d := w.c.RunFor(o.Piece)
+		n.timer = time.AfterFunc(d, func() {
+			w.c.mu.Lock()
+			defer w.c.mu.Unlock()
+			if w.dead || w.runs[o.Piece] != n || n.status != "running" {
+				return
+			}
+			n.status, n.cause = "ended", "done"
+			if w.c.Sick[w.id] || w.c.Broken[s.UID] {
+				n.cause = "error"
+			} else {
+				w.c.Results[o.Piece]++
+			}
+			w.changed()
+		})
+	})
+}
+
+// judge checks the rules as a task starts.
+func (c *Cloud) judge(w *worker, r *run, s *protocol.Spec) {
+	c.Starts++
+	used := 0.0
+	zones, all := map[string]int{}, 0
+	for id, x := range c.workers {
+		for _, y := range x.runs {
+			if y.status != "running" {
+				continue
+			}
+			if y.piece == r.piece && id != w.id {
+				c.fault("ran_twice: %s on %s and %s", r.piece, w.id, id)
+			}
+			uid, _, _ := strings.Cut(y.piece, "/")
+			if c.specs[uid].Owner == s.Owner {
+				used += c.specs[uid].CPUs
+			}
+			if uid == s.UID {
+				zones[x.zone]++
+				all++
+			}
+		}
+	}
+	if used > c.rules.Limits[s.Owner]+1e-9 {
+		c.fault("quota: %s uses %v", s.Owner, used)
+	}
+	if w.spot && !s.Borrowed || s.Yard != "" && s.Yard != w.zone || s.Together && zones[w.zone] != all ||
+		s.Scatter && zones[w.zone] > (s.Pieces+1)/2 {
+		c.fault("wrong_place: %s on %s", r.piece, w.id)
+	}
+	if at, ok := c.gone[s.UID]; ok && time.Since(at) > c.rules.Cancel {
+		c.fault("ran_cancelled: %s", r.piece)
+	}
+}
+
+// Active counts the tasks of a job that are on machines.
+func (c *Cloud) Active(uid string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, w := range c.workers {
+		for _, r := range w.runs {
+			if strings.HasPrefix(r.piece, uid+"/") && r.status != "ended" {
+				n++
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,322 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-chi/chi/v5"
+
+	"junipershelf/protocol"
+)
+
+type value struct {
+	data   cbor.RawMessage
+	stamp  uint64
+	permit uint64
+}
+
+// Store is the state service. The zero Fault fields make it well-behaved.
+type Store struct {
+	mu      sync.Mutex
+	keys    map[string]value
+	epoch   uint64
+	grants  map[uint64]time.Time
+	lives   map[uint64]time.Duration
+	nextID  uint64
+	news    []protocol.News
+	changed chan struct{}
+
+	outage  func(from string) bool
+	mute    func() bool // carried out, but the answer is lost
+	again   func() bool // carried out once more a second later
+	TooBig  int         // values over the limit, which must stay 0
+	maxSize int
+}
+
+// NewStore makes an empty store.
+func NewStore(maxSize int) *Store {
+	return &Store{keys: map[string]value{}, grants: map[uint64]time.Time{}, lives: map[uint64]time.Duration{},
+		changed: make(chan struct{}), maxSize: maxSize}
+}
+
+// Outage makes the service refuse the callers for which f is true.
+func (s *Store) Outage(f func(from string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.outage != nil && f == nil {
+		// After an outage every lease has its full time again.
+		for id, life := range s.lives {
+			if _, ok := s.grants[id]; ok {
+				s.grants[id] = time.Now().Add(life)
+			}
+		}
+	}
+	s.outage = f
+}
+
+// Faults sets which answers to changes are lost and which are repeated late.
+func (s *Store) Faults(mute, again func() bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mute, s.again = mute, again
+}
+
+// Has tells whether a key exists.
+func (s *Store) Has(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.keys[key]
+	return ok
+}
+
+// Read decodes a key's value.
+func (s *Store) Read(key string, out any) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v, ok := s.keys[key]
+	return ok && protocol.Unmarshal(v.data, out) == nil
+}
+
+func (s *Store) expire() {
+	now := time.Now()
+	if s.outage != nil && s.outage("") {
+		return
+	}
+	for id, at := range s.grants {
+		if now.After(at) {
+			delete(s.grants, id)
+			s.dropGrant(id)
+		}
+	}
+}
+
+func (s *Store) dropGrant(id uint64) {
+	var keys []string
+	for k, v := range s.keys {
+		if v.permit == id {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	if len(keys) > 0 {
+		s.epoch++
+		for _, k := range keys {
+			delete(s.keys, k)
+			s.news = append(s.news, protocol.News{Delete: k, Stamp: s.epoch})
+		}
+		s.wake()
+	}
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) multi(m *protocol.Multi) (int, any) {
+	s.expire()
+	var failed []string
+	for _, g := range m.Guards {
+		if s.keys[g.Key].stamp != g.Stamp {
+			failed = append(failed, g.Key)
+		}
+	}
+	if failed != nil {
+		return 409, protocol.MultiReply{Failed: failed, Epoch: s.epoch}
+	}
+	for _, c := range m.Then {
+		if _, ok := s.grants[c.Permit]; c.Set != "" && c.Permit != 0 && !ok {
+			return 400, protocol.Problem{Error: "no such lease"}
+		}
+	}
+	if len(m.Then) > 0 {
+		s.epoch++
+	}
+	for _, c := range m.Then {
+		if c.Set != "" {
+			if len(c.Data) > s.maxSize {
+				s.TooBig++
+			}
+			s.keys[c.Set] = value{c.Data, s.epoch, c.Permit}
+			s.news = append(s.news, protocol.News{Set: c.Set, Data: c.Data, Stamp: s.epoch})
+		} else if _, ok := s.keys[c.Delete]; ok {
+			delete(s.keys, c.Delete)
+			s.news = append(s.news, protocol.News{Delete: c.Delete, Stamp: s.epoch})
+		}
+	}
+	if len(m.Then) > 0 {
+		s.wake()
+	}
+	return 200, protocol.MultiReply{Epoch: s.epoch}
+}
+
+// Serve serves the store on an address until the context ends.
+func (s *Store) Serve(ctx context.Context, n *Net, a string) error {
+	return serve(ctx, n, a, s.Handler())
+}
+
+func serve(ctx context.Context, n *Net, a string, h http.Handler) error {
+	l, err := n.Listen("mem", a)
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{Handler: h}
+	go srv.Serve(l)
+	go func() { <-ctx.Done(); srv.Close(); l.Close() }()
+	return nil
+}
+
+func reply(w http.ResponseWriter, code int, body any) {
+	raw, err := protocol.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+	w.WriteHeader(code)
+	w.Write(raw)
+}
+
+func body(r *http.Request, out any) bool {
+	raw := make([]byte, 0, 1024)
+	buf := make([]byte, 4096)
+	for {
+		n, err := r.Body.Read(buf)
+		raw = append(raw, buf[:n]...)
+		if err != nil {
+			break
+		}
+	}
+	return protocol.Unmarshal(raw, out) == nil
+}
+
+// Handler serves the protocol.
+func (s *Store) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Use(func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			s.mu.Lock()
+			out := s.outage != nil && s.outage(r.RemoteAddr)
+			s.mu.Unlock()
+			if out && !strings.HasPrefix(r.URL.Path, "/watch") {
+				reply(w, 503, protocol.Problem{Error: "trouble"})
+				return
+			}
+			next.ServeHTTP(w, r)
+		})
+	})
+	r.Get("/store/*", func(w http.ResponseWriter, r *http.Request) {
+		key := chi.URLParam(r, "*")
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.expire()
+		if v, ok := s.keys[key]; ok {
+			reply(w, 200, protocol.Entry{Key: key, Data: v.data, Stamp: v.stamp})
+		} else {
+			reply(w, 404, protocol.MultiReply{Epoch: s.epoch})
+		}
+	})
+	r.Get("/store", func(w http.ResponseWriter, r *http.Request) {
+		under, since := r.URL.Query().Get("under"), r.URL.Query().Get("since")
+		most, _ := strconv.Atoi(r.URL.Query().Get("most"))
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.expire()
+		var keys []string
+		for k := range s.keys {
+			if strings.HasPrefix(k, under) && k > since {
+				keys = append(keys, k)
+			}
+		}
+		sort.Strings(keys)
+		l := protocol.EntryList{Epoch: s.epoch, HasNext: len(keys) > most}
+		for _, k := range keys[:min(most, len(keys))] {
+			l.Entries = append(l.Entries, protocol.Entry{Key: k, Data: s.keys[k].data, Stamp: s.keys[k].stamp})
+		}
+		reply(w, 200, l)
+	})
+	r.Post("/multi", func(w http.ResponseWriter, r *http.Request) {
+		var m protocol.Multi
+		if !body(r, &m) {
+			reply(w, 400, protocol.Problem{Error: "malformed"})
+			return
+		}
+		s.mu.Lock()
+		code, out := s.multi(&m)
+		mute := s.mute != nil && s.mute()
+		if s.again != nil && s.again() {
+			go func() {
+				time.Sleep(time.Second)
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.multi(&m)
+			}()
+		}
+		s.mu.Unlock()
+		if mute {
+			panic(http.ErrAbortHandler)
+		}
+		reply(w, code, out)
+	})
+	r.Post("/grants", func(w http.ResponseWriter, r *http.Request) {
+		var g protocol.Grant
+		body(r, &g)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.nextID++
+		life := time.Duration(g.LifeMS) * time.Millisecond
+		s.lives[s.nextID], s.grants[s.nextID] = life, time.Now().Add(life)
+		reply(w, 200, protocol.Grant{Permit: s.nextID})
+	})
+	r.Post("/grants/{id}/touch", func(w http.ResponseWriter, r *http.Request) {
+		id, _ := strconv.ParseUint(chi.URLParam(r, "id"), 10, 64)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.expire()
+		if _, ok := s.grants[id]; !ok {
+			reply(w, 404, protocol.Problem{Error: "no such lease"})
+			return
+		}
+		s.grants[id] = time.Now().Add(s.lives[id])
+		reply(w, 200, protocol.Grant{Permit: id})
+	})
+	r.Get("/watch", func(w http.ResponseWriter, r *http.Request) {
+		under := r.URL.Query().Get("under")
+		since, _ := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
+		wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+		limit := time.After(time.Duration(wait) * time.Millisecond)
+		for {
+			s.mu.Lock()
+			s.expire()
+			out := protocol.WatchReply{Epoch: s.epoch, News: []protocol.News{}}
+			for _, n := range s.news {
+				if n.Stamp > since && (strings.HasPrefix(n.Set, under) && n.Set != "" || strings.HasPrefix(n.Delete, under) && n.Delete != "") {
+					out.News = append(out.News, n)
+				}
+			}
+			changed, down := s.changed, s.outage != nil && s.outage(r.RemoteAddr)
+			s.mu.Unlock()
+			if len(out.News) > 0 && !down {
+				reply(w, 200, out)
+				return
+			}
+			select {
+			case <-changed:
+			case <-limit:
+				if !down {
+					reply(w, 200, out)
+					return
+				}
+				limit = time.After(time.Second)
+			case <-r.Context().Done():
+				return
+			}
+		}
+	})
+	return r
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -23,12 +23,17 @@
 	http *http.Client
 }
 
-// New makes a client that keeps at most conns connections.
-func New(addr string, conns int) *Client {
-	d := &net.Dialer{Timeout: time.Second, KeepAlive: -1}
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// New makes a client that keeps at most conns connections; a nil dial is TCP's.
+func New(dial Dial, addr string, conns int) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: time.Second, KeepAlive: -1}).DialContext
+	}
 	return &Client{base: "http://" + addr, http: &http.Client{
 		Transport: &http.Transport{
-			DialContext: d.DialContext, MaxConnsPerHost: conns, MaxIdleConnsPerHost: conns,
+			DialContext: dial, MaxConnsPerHost: conns, MaxIdleConnsPerHost: conns,
 			IdleConnTimeout: 90 * time.Second, DisableCompression: true,
 			ReadBufferSize: 2048, WriteBufferSize: 2048,
 		},
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -101,7 +101,7 @@
 type Client struct{ call *wire.Client }
 
 // NewClient makes a client.
-func NewClient(addr string) *Client { return &Client{wire.New(addr, 24)} }
+func NewClient(dial wire.Dial, addr string) *Client { return &Client{wire.New(dial, addr, 24)} }
 
 func (c *Client) do(ctx context.Context, path string, timeout time.Duration, q, a any) error {
 	body, err := msgpack.Marshal(q)
--- a/state/state.go
+++ b/state/state.go
@@ -62,9 +62,9 @@
 const Timeout = 1500 * time.Millisecond
 
 // New makes a client.
-func New(addr string, lim settings.StateLimits) *Client {
+func New(dial wire.Dial, addr string, lim settings.StateLimits) *Client {
 	return &Client{
-		call: wire.New(addr, 16), long: wire.New(addr, 4),
+		call: wire.New(dial, addr, 16), long: wire.New(dial, addr, 4),
 		requests: rate.NewLimiter(rate.Limit(lim.RPS*0.5), max(1, int(lim.RPS*0.4))),
 		changes:  rate.NewLimiter(rate.Limit(lim.WriteRPS*0.5), max(lim.TxnOps, int(lim.WriteRPS*0.5))),
 		txnOps:   lim.TxnOps, valueBytes: int(lim.ValueKB * 1024),
