--- a/cmd/junipershelf/main.go
+++ b/cmd/junipershelf/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"os"
@@ -15,6 +16,7 @@
 	"github.com/alecthomas/kong"
 
 	"junipershelf/controller"
+	"junipershelf/peer"
 	"junipershelf/policy"
 	"junipershelf/settings"
 )
@@ -27,35 +29,72 @@
 	exitSettings = 2
 )
 
+type files struct {
+	Config string `help:"Settings file of the platform." placeholder:"FILE" required:""`
+	Policy string `help:"Policy file (Starlark); the built-in default without one." placeholder:"FILE"`
+}
+
 type cli struct {
-	Config  string           `help:"Settings file of the platform." placeholder:"FILE" required:""`
-	Policy  string           `help:"Policy file (Starlark); the built-in default without one." placeholder:"FILE"`
-	Check   bool             `help:"Check settings and policy, say so, and end."`
-	Version kong.VersionFlag `help:"Print the version and end."`
+	Run   files `cmd:"" default:"withargs" help:"Run a controller until it is killed (the default)."`
+	Check files `cmd:"" help:"Check settings and policy, say so, and end."`
+	Show  struct {
+		Addr string `arg:"" help:"The node's internal_addr."`
+	} `cmd:"" help:"Show a running node's view, machines, queues and counters."`
+	DefaultPolicy struct{}         `cmd:"" help:"Print the documented default policy."`
+	Version       kong.VersionFlag `help:"Print the version and end."`
 }
 
 func main() {
 	var args cli
 	k := kong.Must(&args, kong.Name("junipershelf"), kong.Vars{"version": "junipershelf " + version},
 		kong.Description("A cluster scheduler: each machine has its own queue, and overflow goes to the first underloaded buddy.\n\nLOG_LEVEL sets the log's level: error, info or debug.\nExit codes: 0 all is well, 1 the service failed, 2 settings, policy or arguments are wrong."))
-	if _, err := k.Parse(os.Args[1:]); err != nil {
-		fmt.Fprintln(os.Stderr, "junipershelf:", err)
-		os.Exit(exitSettings)
+	c, err := k.Parse(os.Args[1:])
+	if err != nil {
+		fail(exitSettings, "", err)
 	}
-	set, err := settings.Load(args.Config)
+	switch c.Command() {
+	case "default-policy":
+		fmt.Print(policy.Default)
+	case "show <addr>":
+		if err := show(args.Show.Addr); err != nil {
+			fail(exitFailed, "show: ", err)
+		}
+	case "check":
+		load(args.Check)
+		fmt.Println("settings and policy are good")
+	default:
+		run(load(args.Run))
+	}
+}
+
+func fail(code int, what string, err error) {
+	fmt.Fprintln(os.Stderr, "junipershelf: "+what+strings.Join(strings.Fields(err.Error()), " "))
+	os.Exit(code)
+}
+
+func load(f files) (*settings.Settings, *policy.Policy) {
+	set, err := settings.Load(f.Config)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "junipershelf: settings:", oneLine(err))
-		os.Exit(exitSettings)
+		fail(exitSettings, "settings: ", err)
 	}
-	pol, err := policy.Load(args.Policy)
+	pol, err := policy.Load(f.Policy)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "junipershelf: policy:", oneLine(err))
-		os.Exit(exitSettings)
+		fail(exitSettings, "policy: ", err)
 	}
-	if args.Check {
-		fmt.Println("settings and policy are good")
-		return
+	return set, pol
+}
+
+func show(addr string) error {
+	a, err := peer.NewClient(nil, addr).Show(context.Background())
+	if err != nil {
+		return err
 	}
+	e := json.NewEncoder(os.Stdout)
+	e.SetIndent("", "  ")
+	return e.Encode(a)
+}
+
+func run(set *settings.Settings, pol *policy.Policy) {
 	// The platform gives a share of one core and so much memory.
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(set.Facts.Resources.MemMB * 0.6 * (1 << 20)))
@@ -68,7 +107,7 @@
 	for _, o := range set.Facts.Objectives {
 		log.Info("aim", "kind", o.Kind, "class", o.Class, "share", o.Share, "times", o.Times, "within_s", o.WithinS)
 	}
-	err = controller.New(set, pol, log, controller.Network{}).Run(ctx)
+	err := controller.New(set, pol, log, controller.Network{}).Run(ctx)
 	if ctx.Err() != nil {
 		for _, o := range set.Facts.Objectives {
 			log.Info("aim", "kind", o.Kind, "class", o.Class, "share", o.Share, "times", o.Times, "within_s", o.WithinS)
@@ -80,8 +119,6 @@
 	os.Exit(exitFailed)
 }
 
-func oneLine(err error) string { return strings.Join(strings.Fields(err.Error()), " ") }
-
 func level(s string) slog.Level {
 	switch strings.ToLower(s) {
 	case "debug":
--- /dev/null
+++ b/divide/divide_test.go
@@ -0,0 +1,198 @@
+package divide
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"junipershelf/job"
+	"junipershelf/part"
+	"junipershelf/protocol"
+)
+
+var t0 = time.Unix(1_000_000, 0)
+
+var testConfig = Config{Backlog: 1, Aging: time.Hour, FaultPause: 2 * time.Second, FaultMax: time.Minute, SickAfter: 2, ValueBytes: 8192}
+
+func caps(string) (job.Need, bool) { return job.Need{CPUs: 4, Mem: 32}, true }
+
+func teams() []Team {
+	return []Team{{Name: "red", Guarantee: job.Need{CPUs: 3}, Limit: job.Need{CPUs: 5}},
+		{Name: "blue", Guarantee: job.Need{CPUs: 6}, Limit: job.Need{CPUs: 12}}}
+}
+
+func mirror(specs ...protocol.Spec) *job.Mirror {
+	m := job.NewMirror(map[string]int{"red": 0, "blue": 1})
+	for _, s := range specs {
+		if s.Urgency == "" {
+			s.Urgency = "normal"
+		}
+		s.Borrowed = true
+		if err := m.Set(s.UID, job.Record{Spec: s, At: t0.UnixMilli()}, 1, t0); err != nil {
+			panic(err)
+		}
+	}
+	return m
+}
+
+func machine(id string) part.State {
+	return part.State{ID: id, Flavor: "quad", Zone: "z", Room: job.Need{CPUs: 4, Mem: 32}, Usable: true, Heard: true}
+}
+
+// plainOwner is a slow and plain model of an owner: a list of what it holds.
+type plainOwner struct {
+	n    uint64
+	ack  uint64
+	held map[job.Task]string
+	done []job.Task
+	ids  []string
+	old  []part.Digest
+}
+
+func (o *plainOwner) digest(d *Divider) part.Digest {
+	o.n++
+	g := part.Digest{N: o.n, Ack: o.ack, Done: o.done}
+	used := map[string]float64{}
+	jobs := map[string]*part.HeldJob{}
+	for t, id := range o.held {
+		l := d.jobs.Get(t.Job)
+		used[id] += l.Spec.CPUs
+		if jobs[t.Job] == nil {
+			jobs[t.Job] = &part.HeldJob{UID: t.Job, Team: l.Spec.Owner, Need: l.Need()}
+		}
+		jobs[t.Job].Tasks = append(jobs[t.Job].Tasks, part.HeldTask{Index: t.Index, Machine: id, Placed: true})
+	}
+	for _, j := range jobs {
+		g.Held = append(g.Held, *j)
+	}
+	for _, id := range o.ids {
+		s := machine(id)
+		s.Room.CPUs -= used[id]
+		s.Tasks = int(used[id])
+		g.Machines = append(g.Machines, s)
+	}
+	o.old = append(o.old, g)
+	return g
+}
+
+// TestLedgerAgainstPlainOwners draws histories in which digests come late or
+// again and answers are lost. Whatever happens, the owners together hold no
+// task twice, none that is done, and no more than a team's limit.
+func TestLedgerAgainstPlainOwners(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var specs []protocol.Spec
+		for i := range rapid.IntRange(1, 5).Draw(t, "jobs") {
+			specs = append(specs, protocol.Spec{UID: fmt.Sprintf("wk-%d", i), Owner: rapid.SampledFrom([]string{"red", "blue"}).Draw(t, "team"),
+				Urgency: rapid.SampledFrom(protocol.Urgencies).Draw(t, "urgency"),
+				CPUs:    float64(rapid.IntRange(1, 3).Draw(t, "cpus")), Pieces: rapid.IntRange(1, 12).Draw(t, "pieces")})
+		}
+		m := mirror(specs...)
+		d := New(testConfig, teams(), 2, caps, m)
+		owners := []*plainOwner{{held: map[job.Task]string{}, ids: []string{"a", "c"}}, {held: map[job.Task]string{}, ids: []string{"b", "d", "e"}}}
+		for i, o := range owners {
+			d.Digest(i, o.digest(d), t0)
+		}
+		finished := map[job.Task]bool{}
+		now := t0
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Second)
+			i := rapid.IntRange(0, 1).Draw(t, "owner")
+			o := owners[i]
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0, 1: // a call that works
+				d.Digest(i, o.digest(d), now)
+				d.Allot(now)
+				for _, a := range d.Unacked(i) {
+					if a.Seq > o.ack {
+						o.ack = a.Seq
+						o.held[job.Task{Job: a.Job, Index: a.Index}] = a.Machine
+					}
+				}
+			case 2: // a call whose answer is lost
+				d.Digest(i, o.digest(d), now)
+				d.Allot(now)
+			case 3: // an old call comes late
+				d.Digest(i, rapid.SampledFrom(o.old).Draw(t, "old"), now)
+				d.Allot(now)
+			case 4: // a task ends, or is given back
+				for tk := range o.held {
+					delete(o.held, tk)
+					if rapid.Bool().Draw(t, "done") {
+						finished[tk] = true
+						o.done = append(o.done, tk)
+					}
+					break
+				}
+			}
+			used, seen := map[string]float64{}, map[job.Task]bool{}
+			for _, o := range owners {
+				for tk := range o.held {
+					if seen[tk] || finished[tk] {
+						t.Fatalf("%v is held twice or again after it was done", tk)
+					}
+					seen[tk] = true
+					l := m.Get(tk.Job)
+					used[l.Spec.Owner] += l.Spec.CPUs
+				}
+			}
+			for _, tm := range teams() {
+				if used[tm.Name] > tm.Limit.CPUs {
+					t.Fatalf("%s uses %v", tm.Name, used[tm.Name])
+				}
+			}
+		}
+	})
+}
+
+// TestServedByShares: with more asked than can be done, urgencies come first and
+// teams of one urgency are served in turn by their shares, all within their
+// guarantees before anybody borrows.
+func TestServedByShares(t *testing.T) {
+	m := mirror(protocol.Spec{UID: "wk-1", Owner: "red", CPUs: 1, Pieces: 20}, protocol.Spec{UID: "wk-2", Owner: "blue", CPUs: 1, Pieces: 20},
+		protocol.Spec{UID: "wk-3", Owner: "blue", CPUs: 1, Pieces: 2, Urgency: "urgent"})
+	cfg := testConfig
+	cfg.Backlog = 0
+	d := New(cfg, teams(), 1, caps, m)
+	d.Digest(0, part.Digest{N: 1, Machines: []part.State{machine("a"), machine("b")}}, t0)
+	d.Allot(t0)
+	count := map[string]int{}
+	for i, a := range d.Unacked(0) {
+		count[a.Job]++
+		if i < 2 && a.Job != "wk-3" {
+			t.Errorf("allotment %d went to %s", i, a.Job)
+		}
+	}
+	// Eight CPUs: 2 urgent ones of blue, then red and blue by 3 to 6.
+	if count["wk-3"] != 2 || count["wk-1"] != 3 || count["wk-2"] != 3 {
+		t.Errorf("%v", count)
+	}
+}
+
+// TestFaults: a machine that fails what others complete is sick; a job that
+// fails everywhere pauses, longer each time, and does not make machines sick.
+func TestFaults(t *testing.T) {
+	m := mirror(protocol.Spec{UID: "wk-1", Owner: "blue", CPUs: 1, Pieces: 9}, protocol.Spec{UID: "wk-2", Owner: "blue", CPUs: 1, Pieces: 9})
+	d := New(testConfig, teams(), 1, caps, m)
+	states := []part.State{machine("a"), machine("b"), machine("c")}
+	fault := func(n uint64, job_ string, i int, id string) {
+		d.Digest(0, part.Digest{N: n, Machines: states, Faults: []part.Fault{{Task: job.Task{Job: job_, Index: i}, Machine: id, Cause: "error"}}}, t0)
+		d.Count(t0)
+	}
+	fault(1, "wk-1", 0, "a")
+	fault(2, "wk-1", 1, "b")
+	if d.Sick["a"] || d.Sick["b"] {
+		t.Error("a job that fails everywhere made a machine sick")
+	}
+	for _, w := range d.Waiting(t0) {
+		if w.Job.Spec.UID == "wk-1" {
+			t.Error("a job that fails everywhere does not pause")
+		}
+	}
+	fault(3, "wk-2", 0, "c")
+	fault(4, "wk-2", 1, "c")
+	if !d.Sick["c"] {
+		t.Error("a machine that fails all tasks is not found sick")
+	}
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,104 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"junipershelf/divide"
+	"junipershelf/job"
+	"junipershelf/part"
+	"junipershelf/protocol"
+)
+
+var t0 = time.Unix(1_000_000, 0)
+
+var testConfig = Config{Horizon: 60 * time.Second, Idle: 20 * time.Second, BootFactor: 3, BootSlack: 5 * time.Second, Retry: 10 * time.Second,
+	OrdinaryRank: 1, OrdinaryWait: 20 * time.Second, ListLag: 4 * time.Second}
+
+func caps(string) (job.Need, bool) { return job.Need{CPUs: 4, Mem: 32}, true }
+
+func setup(t *testing.T, urgency string, pieces int, states ...part.State) (*Planner, *divide.Divider) {
+	t.Helper()
+	m := job.NewMirror(map[string]int{"red": 0})
+	s := protocol.Spec{UID: "wk-1", Owner: "red", Urgency: urgency, CPUs: 1, Pieces: pieces, Borrowed: true, ExpectedS: 60}
+	if pieces > 0 {
+		if err := m.Set("wk-1", job.Record{Spec: s, At: t0.UnixMilli()}, 1, t0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d := divide.New(divide.Config{}, []divide.Team{{Name: "red", Guarantee: job.Need{CPUs: 8}, Limit: job.Need{CPUs: 16}}}, 1, caps, m)
+	d.Digest(0, part.Digest{N: 1, Machines: states}, t0)
+	d.Count(t0)
+	p := New(testConfig)
+	p.Flavors = []protocol.Flavor{{Label: "quad", CPUs: 4, MemGB: 32, Rate: 0.3, SpotPrice: 0.1, BootS: 10, Yards: []string{"z"}}}
+	return p, d
+}
+
+func plan(p *Planner, d *divide.Divider, now time.Time) (int, []string, []string) {
+	h, leave, drop := p.Plan(now, d, d.Waiting(now))
+	n := 0
+	for _, x := range h {
+		n += x.Count
+	}
+	return n, leave, drop
+}
+
+// The fleet grows to the work, within the team's limit, and counts what is
+// already on its way.
+func TestGrowsToTheWork(t *testing.T) {
+	p, d := setup(t, "normal", 100)
+	h, _, _ := p.Plan(t0, d, d.Waiting(t0))
+	if diff := cmp.Diff([]Hire{{Offer{"quad", "z", true}, 4}}, h); diff != "" {
+		t.Fatal(diff)
+	}
+	p.Asked(h[0])
+	if n, _, _ := plan(p, d, t0); n != 0 {
+		t.Errorf("%d more while the first are asked for", n)
+	}
+	p.Hired(h[0], []string{"a", "b"}, t0)
+	if n, _, _ := plan(p, d, t0); n != 0 {
+		t.Errorf("%d more right after a partly filled hire", n)
+	}
+	if n, _, _ := plan(p, d, t0.Add(11*time.Second)); n != 2 {
+		t.Errorf("%d more after the pause, want the missing 2", n)
+	}
+}
+
+// Ordinary machines are for urgent work that has waited, with no spot to be had.
+func TestOrdinaryMachines(t *testing.T) {
+	for _, c := range []struct {
+		urgency string
+		after   time.Duration
+		want    bool
+	}{{"urgent", 15 * time.Second, false}, {"urgent", 25 * time.Second, true}, {"best_effort", 25 * time.Second, false}} {
+		p, d := setup(t, c.urgency, 4)
+		p.Refused(Hire{Offer{"quad", "z", true}, 1}, t0.Add(c.after))
+		h, _, _ := p.Plan(t0.Add(c.after), d, d.Waiting(t0.Add(c.after)))
+		if got := len(h) == 1 && !h[0].Spot; got != c.want {
+			t.Errorf("%s after %v: %+v", c.urgency, c.after, h)
+		}
+	}
+}
+
+// A machine that never comes up or that the cloud calls failed is given back,
+// and so is an idle one when nothing waits for it.
+func TestGivenBack(t *testing.T) {
+	idle := part.State{ID: "i", Flavor: "quad", Zone: "z", Spot: true, Usable: true, Heard: true, IdleS: 30, Room: job.Need{CPUs: 4, Mem: 32}}
+	p, d := setup(t, "normal", 0, idle)
+	p.Hired(Hire{Offer{"quad", "z", true}, 1}, []string{"b"}, t0)
+	p.List(t0, []protocol.Host{{UID: "f", Flavor: "quad", Yard: "z", Borrowed: true, Status: "failed"}, {UID: "i", Flavor: "quad", Status: "running"}})
+	_, leave, drop := plan(p, d, t0.Add(30*time.Second))
+	if diff := cmp.Diff([][]string{{"i"}, {"f"}}, [][]string{leave, drop}); diff != "" {
+		t.Error(diff)
+	}
+	if _, _, drop = plan(p, d, t0.Add(36*time.Second)); !cmp.Equal(drop, []string{"b", "f"}) {
+		t.Errorf("after three boot times: %v", drop)
+	}
+	p.Gone([]string{"b", "f"}, t0.Add(37*time.Second))
+	p.List(t0.Add(38*time.Second), []protocol.Host{{UID: "b", Flavor: "quad", Status: "booting", HeldS: 99}})
+	if _, _, drop = plan(p, d, t0.Add(38*time.Second)); len(drop) != 0 {
+		t.Errorf("a lagging list brought %v back", drop)
+	}
+}
--- a/part/commit.go
+++ b/part/commit.go
@@ -115,7 +115,7 @@
 			}
 			w.drop = append(w.drop, pl)
 		}
-		w.add = m.adding
+		w.add = slices.Clone(m.adding) // settling changes the original
 		if len(w.drop) == 0 && len(w.add) == 0 && !(m.gone && len(m.placed) == 0) {
 			continue
 		}
--- a/prefer/prefer.go
+++ b/prefer/prefer.go
@@ -1,7 +1,10 @@
 // Package prefer makes the preferred lists of the paper's Definition 2.
 package prefer
 
-import "math/bits"
+import (
+	"math/bits"
+	"slices"
+)
 
 // Masks gives the XOR masks of an n-cube in the order of Definition 2: groups
 // of growing weight, and in each the first index runs 1..n-k and then 0.
@@ -25,7 +28,14 @@
 		for j := 1; j <= n-k; j++ {
 			rest(j+1, k-1, 1<<j)
 		}
+		low := len(out)
 		rest(1, k-1, 1)
+		if k > 2 {
+			// The paper's Fig. 4 runs these downwards (14 13 11 7), which the
+			// formula of Definition 2 does not; the figure is followed, see
+			// docs/questions.md.
+			slices.Reverse(out[low:])
+		}
 	}
 	return out
 }
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,85 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const good = `
+node_name = "a"
+domain = "z"
+front = "10.0.0.1:8080"
+internal_addr = "10.0.0.1:8081"
+colour = "unknown fields are ignored"
+[[known]]
+node_name = "b"
+addr = "10.0.0.2:8081"
+[outside]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[facts]
+nodes = 2
+zones = ["z"]
+[[facts.teams]]
+name = "red"
+cpus = 4.0
+cpus_max = 8.0
+[facts.workers]
+report_s = 1.5
+lease_s = 10.0
+cancel_s = 30.0
+[facts.state]
+rps = 100.0
+write_rps = 20.0
+value_kb = 8.0
+txn_ops = 16
+[facts.cloud]
+rps = 5.0
+list_lag_s = 2.0
+[facts.resources]
+cpu = 0.3
+mem_mb = 125.0
+max_sockets = 1000
+`
+
+func TestGoodFile(t *testing.T) {
+	s, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Facts.Teams[0].CPUsMax != 8 || s.Known[0].Addr != "10.0.0.2:8081" || Seconds(s.Facts.Workers.ReportS).Milliseconds() != 1500 {
+		t.Errorf("read wrongly: %+v", s)
+	}
+}
+
+func TestErrorsNameTheField(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`node_name = "a"`, ``, "node_name"},
+		{`front = "10.0.0.1:8080"`, `front = "localhost"`, "front"},
+		{`addr = "10.0.0.2:8081"`, ``, "known[0].addr"},
+		{`node_name = "b"`, `node_name = "a"`, "known[0].node_name"},
+		{`state = "10.2.0.1:2379"`, ``, "outside.state"},
+		{`lease_s = 10.0`, ``, "facts.workers.lease_s"},
+		{`lease_s = 10.0`, `lease_s = 2.0`, "facts.workers.lease_s"},
+		{`lease_s = 10.0`, `lease_s = "ten"`, "lease_s"},
+		{`rps = 100.0`, `rps = -1.0`, "facts.state.rps"},
+		{`txn_ops = 16`, `txn_ops = 1`, "facts.state.txn_ops"},
+		{`cpus_max = 8.0`, `cpus_max = 2.0`, "facts.teams[0].cpus_max"},
+		{`mem_mb = 125.0`, `mem_mb = nan`, "facts.resources.mem_mb"},
+		{`zones = ["z"]`, `zones = []`, "facts.zones"},
+		{`[outside]`, `[outside`, "line"},
+	} {
+		text := strings.Replace(good, c.old, c.new, 1)
+		if text == good {
+			t.Fatalf("%q is not in the file", c.old)
+		}
+		if _, err := Parse([]byte(text)); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q for %q: error %v does not name %s", c.new, c.old, err, c.want)
+		}
+	}
+	if _, err := Load(filepath.Join(t.TempDir(), "none.toml")); !os.IsNotExist(err) {
+		t.Errorf("missing file: %v", err)
+	}
+}
