--- a/controller/day_test.go
+++ b/controller/day_test.go
@@ -323,7 +323,7 @@
 			"unknown flavor":    {func(m map[string]any) { m["flavors"] = []string{"giga"} }, 422},
 			"unknown zone":      {func(m map[string]any) { m["yard"] = "north" }, 422},
 			"needs accelerator": {func(m map[string]any) { m["accelerators"] = 1.0 }, 422},
-			"unknown extra":     {func(m map[string]any) { m["colour"] = "red" }, 201},
+			"unknown extra":     {func(m map[string]any) { m["uid"], m["colour"] = "wk-6", "red" }, 201},
 		} {
 			m := spec("wk-7", "red", 2)
 			c.change(m)
