--- a/policy/default.star
+++ b/policy/default.star
@@ -16,7 +16,7 @@
 fault_max_s = 60.0
 sick_after = 3          # tasks failing on a machine that others complete
 
-horizon_s = 60.0        # the fleet is sized to drain its work in this time
+horizon_s = 10.0        # the fleet is sized to drain its work in this time
 idle_s = 20.0           # an idle machine is returned after this
 boot_factor = 3.0       # a machine still booting after so many boot times is given up
 boot_slack_s = 5.0
