--- a/controller/controller.go
+++ b/controller/controller.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sort"
 	"sync"
 	"time"
 
@@ -278,6 +279,7 @@
 		c.div = divide.New(divide.Config{
 			Backlog: c.pol.Backlog, Aging: settings.Seconds(c.pol.AgingS), FaultPause: settings.Seconds(c.pol.FaultPauseS),
 			FaultMax: settings.Seconds(c.pol.FaultMaxS), SickAfter: c.pol.SickAfter, ValueBytes: c.store.ValueBytes(),
+			Targets: targets(f.Objectives),
 		}, teams, len(view.Members), c.caps, c.mirror)
 		for i, s := range shadows {
 			c.div.Inherit(i, s.Digest(now))
@@ -290,6 +292,29 @@
 	return nil
 }
 
+// targets puts the settings' objectives by class, the nearest first.
+func targets(all []settings.Objective) map[string][]divide.Target {
+	out := map[string][]divide.Target{}
+	for _, o := range all {
+		t := divide.Target{Start: o.Kind == "wait", Within: settings.Seconds(o.WithinS), Times: o.Times}
+		switch o.Kind {
+		case "deadline":
+			t.Times = max(t.Times, 0.01)
+		case "wait", "finished":
+			t.Times = 0
+		default:
+			continue
+		}
+		out[o.Class] = append(out[o.Class], t)
+	}
+	for _, l := range out {
+		sort.SliceStable(l, func(i, j int) bool {
+			return l[i].Times < l[j].Times || l[i].Times == l[j].Times && l[i].Within < l[j].Within
+		})
+	}
+	return out
+}
+
 // relist reads all live jobs anew.
 func (c *Controller) relist(ctx context.Context) error {
 	_, err := c.listJobs(ctx)
--- a/divide/divide.go
+++ b/divide/divide.go
@@ -19,6 +19,15 @@
 	FaultMax   time.Duration
 	SickAfter  int // failures of different tasks that others complete
 	ValueBytes int
+	Targets    map[string][]Target // by class of jobs, the nearest first
+}
+
+// Target is what is expected of a class of jobs: to have started or to be
+// complete within a time, or within so many times its deadline.
+type Target struct {
+	Start  bool
+	Within time.Duration
+	Times  float64
 }
 
 // Team is a team of the settings.
@@ -285,12 +294,31 @@
 	Team    int
 	Tasks   int // that wait
 	Age     time.Duration
-	next    int // where to look for the next waiting task
+	Rank    int // the urgency's place, after aging
+	Grade   int // 0 in time for its first target, 1 for a later one, 2 for none
+	target  time.Time
+	work    float64 // CPU seconds that wait
+	next    int     // where to look for the next waiting task
 	blocked bool
 	limited bool
 }
 
-// Waiting lists the jobs with tasks that nobody holds.
+// Level orders the waiting jobs: by urgency, and in it those that can be in time
+// first. One that cannot goes behind the next urgency's work that can, except
+// that urgent work never stands behind other work.
+func (w *Wait) Level() int {
+	if w.Grade >= late && w.Rank >= ordinary {
+		return (w.Rank+1)*4 + w.Grade
+	}
+	return w.Rank*4 + w.Grade
+}
+
+const (
+	late     = 2
+	ordinary = 2 // the first urgency that is not pressing
+)
+
+// Waiting lists the jobs with tasks that nobody holds, in the order of service.
 func (d *Divider) Waiting(now time.Time) []*Wait {
 	var out []*Wait
 	for uid, l := range d.jobs.Jobs {
@@ -300,40 +328,138 @@
 		if i := d.info[uid]; i != nil && now.Before(i.pauseUntil) {
 			continue
 		}
-		heldUndone := d.perJob[uid]
-		n := l.Spec.Pieces - l.Finished.Len() - heldUndone
+		n := l.Spec.Pieces - l.Finished.Len() - d.perJob[uid]
 		if n <= 0 {
 			continue
 		}
-		out = append(out, &Wait{Job: l, Team: l.Team, Tasks: n, Age: now.Sub(time.UnixMilli(l.At))})
-	}
-	sort.Slice(out, func(i, j int) bool {
-		a, b := out[i], out[j]
-		if ra, rb := d.rank(a), d.rank(b); ra != rb {
-			return ra < rb
-		}
-		if da, db := due(a), due(b); da != db {
-			return da < db
+		w := &Wait{Job: l, Team: l.Team, Tasks: n, Age: now.Sub(time.UnixMilli(l.At)), Rank: l.Rank,
+			work: float64(n) * l.Spec.CPUs * estimate(l)}
+		if d.cfg.Aging > 0 {
+			// Waiting lifts work, so the low is not starved.
+			w.Rank = max(0, w.Rank-int(w.Age/d.cfg.Aging))
 		}
-		return a.Job.Spec.UID < b.Job.Spec.UID
-	})
+		out = append(out, w)
+	}
+	d.grade(out, now)
 	return out
 }
 
-// rank is the urgency's place; waiting lifts it, so low work is not starved.
-func (d *Divider) rank(w *Wait) int {
-	r := w.Job.Rank
-	if d.cfg.Aging > 0 {
-		r -= int(w.Age / d.cfg.Aging)
+func estimate(l *job.Live) float64 { return max(l.Spec.ExpectedS, 1) }
+
+// targets are the times by which a job should have started or be complete, as
+// far as it alone could still meet them, given as the latest end of its work.
+func (d *Divider) targets(w *Wait, now time.Time) []time.Time {
+	var out []time.Time
+	est := time.Duration(estimate(w.Job) * float64(time.Second))
+	at := time.UnixMilli(w.Job.At)
+	for _, t := range d.cfg.Targets[w.Job.Spec.Queue] {
+		by := at.Add(t.Within)
+		if t.Times > 0 {
+			if w.Job.Spec.DueS <= 0 {
+				continue
+			}
+			by = at.Add(time.Duration(t.Times * w.Job.Spec.DueS * float64(time.Second)))
+		}
+		if t.Start {
+			by = by.Add(est)
+		}
+		if now.Add(est).After(by) {
+			continue
+		}
+		out = append(out, by)
 	}
-	return max(r, 0)
+	if len(d.cfg.Targets[w.Job.Spec.Queue]) == 0 && w.Job.Spec.DueS > 0 {
+		out = append(out, at.Add(time.Duration(w.Job.Spec.DueS*float64(time.Second))))
+	}
+	return out
 }
 
-func due(w *Wait) int64 {
-	if w.Job.Spec.DueS > 0 {
-		return w.Job.At + int64(w.Job.Spec.DueS*1000)
+// grade tells which of the waiting jobs can be in time, and sorts them. More may
+// be asked than can be done: then the fewest jobs are late if, in the order of
+// their targets, the largest is put off each time that the sum of the work
+// before a target is too much for it (Moore and Hodgson's rule).
+func (d *Divider) grade(ws []*Wait, now time.Time) {
+	byTarget := func(a, b *Wait) bool {
+		if a.Rank != b.Rank {
+			return a.Rank < b.Rank
+		}
+		if !a.target.Equal(b.target) {
+			return a.target.Before(b.target)
+		}
+		return a.Job.Spec.UID < b.Job.Spec.UID
 	}
-	return w.Job.At
+	room, busy := 0.0, 0.0
+	for _, m := range d.Machines {
+		if m.Usable && !m.Leaving && !m.Warned {
+			room += m.Cap.CPUs
+		}
+	}
+	room = max(room, 1)
+	teamBusy := make([]float64, len(d.Teams))
+	for t, h := range d.held {
+		left := h.Need.CPUs * 10
+		if l := d.jobs.Get(t.Job); l != nil {
+			left = h.Need.CPUs * max(estimate(l)-h.Task.ForS, estimate(l)/4)
+		}
+		busy += left
+		if n, ok := d.byName[h.Team]; ok {
+			teamBusy[n] += left
+		}
+	}
+	todo := append([]*Wait(nil), ws...)
+	for pass := 0; pass < late && len(todo) > 0; pass++ {
+		var on []*Wait
+		var off []*Wait
+		for _, w := range todo {
+			ts := d.targets(w, now)
+			if len(ts) <= pass {
+				w.Grade, w.target = late, time.UnixMilli(w.Job.At)
+				off = append(off, w)
+				continue
+			}
+			w.Grade, w.target = pass, ts[pass]
+			on = append(on, w)
+		}
+		sort.Slice(on, func(i, j int) bool { return byTarget(on[i], on[j]) })
+		var in []*Wait
+		sum := busy
+		team := append([]float64(nil), teamBusy...)
+		for _, w := range on {
+			in = append(in, w)
+			sum += w.work
+			team[w.Team] += w.work
+			left := w.target.Sub(now).Seconds()
+			limit := max(d.Teams[w.Team].Limit.CPUs, 1)
+			for sum/room > left || team[w.Team]/limit > left {
+				all := sum/room > left
+				worst := -1
+				for i, x := range in {
+					if x.Rank == w.Rank && (all || x.Team == w.Team) && (worst < 0 || x.work > in[worst].work) {
+						worst = i
+					}
+				}
+				if worst < 0 {
+					break
+				}
+				x := in[worst]
+				sum -= x.work
+				team[x.Team] -= x.work
+				in = append(in[:worst], in[worst+1:]...)
+				x.Grade, x.target = late, time.UnixMilli(x.Job.At)
+				off = append(off, x)
+				if x == w {
+					break
+				}
+			}
+		}
+		busy, teamBusy, todo = sum, team, off
+	}
+	sort.Slice(ws, func(i, j int) bool {
+		if a, b := ws[i].Level(), ws[j].Level(); a != b {
+			return a < b
+		}
+		return byTarget(ws[i], ws[j])
+	})
 }
 
 // Allot admits what fits now. It first serves the moves that owners asked for.
@@ -373,13 +499,13 @@
 // of its share.
 func (d *Divider) pick(waits []*Wait, borrow bool) *Wait {
 	var best *Wait
-	bestRank, bestShare := 0, 0.0
+	bestLevel, bestShare := 0, 0.0
 	for _, w := range waits {
 		if w.blocked || w.limited || w.Tasks <= 0 {
 			continue
 		}
-		r := d.rank(w)
-		if best != nil && r > bestRank {
+		r := w.Level()
+		if best != nil && r > bestLevel {
 			break
 		}
 		if !d.within(w.Job, !borrow) {
@@ -393,7 +519,7 @@
 		}
 		share := t.used.CPUs / weight
 		if best == nil || share < bestShare-1e-9 {
-			best, bestRank, bestShare = w, r, share
+			best, bestLevel, bestShare = w, r, share
 		}
 	}
 	return best
@@ -562,9 +688,6 @@
 	return out
 }
 
-// Rank is exported for the fleet's plan.
-func (d *Divider) Rank(w *Wait) int { return d.rank(w) }
-
 // Used is what a team holds.
 func (t *Team) Used() job.Need { return t.used }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -241,7 +241,7 @@
 			slots -= k
 		}
 		for slots > 0 {
-			o, c, ok := p.best(now, w, d.Rank(w), need, want)
+			o, c, ok := p.best(now, w, w.Rank, need, want)
 			if !ok || p.cfg.MaxBoot > 0 && booting >= p.cfg.MaxBoot {
 				break
 			}
