Rent ordinary machines for all work once no spot is to be had

Cause: Dar asks for 77,000 CPU seconds in 315 s and has 160 spot CPUs; windows show 90 % of them busy and a growing queue, while 48 ordinary CPUs stay unrented.

--- a/policy/default.star
+++ b/policy/default.star
@@ -21,7 +21,7 @@
 boot_factor = 3.0       # a machine still booting after so many boot times is given up
 boot_slack_s = 5.0
 refusal_s = 10.0        # pause after the cloud had nothing to give
-ordinary_rank = 1       # urgencies up to this (0 critical, 1 urgent) may rent ordinary machines
-ordinary_wait_s = 20.0  # when their work has waited this long and no spot is to be had
+ordinary_rank = 3       # urgencies up to this (0 critical, 1 urgent) may rent ordinary machines
+ordinary_wait_s = 5.0  # when their work has waited this long and no spot is to be had
 
 team_weights = {}       # a team's share beside its guarantee, by name
