--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -45,6 +45,7 @@
 	at     time.Time
 	listed bool
 	seen   time.Time // last in a list
+	up     time.Time // when we first saw it listed as running
 	status string
 }
 
@@ -126,6 +127,9 @@
 		}
 		r.Offer = Offer{h.Flavor, h.Yard, h.Borrowed}
 		r.listed, r.seen, r.status = true, now, h.Status
+		if h.Status == "running" && r.up.IsZero() {
+			r.up = now
+		}
 	}
 	for id, r := range p.rented {
 		if !in[id] && (r.listed && now.Sub(r.seen) > p.cfg.ListLag || now.Sub(r.seen) > 4*p.cfg.ListLag+5*time.Second) {
@@ -172,9 +176,11 @@
 			}
 			continue
 		}
-		age := now.Sub(r.at)
+		// A machine that is listed as running may not have found its owner yet:
+		// after a change of divider that is so for the whole fleet, and its age
+		// says nothing of how long it booted.
 		limit := time.Duration(f.BootS*p.cfg.BootFactor*float64(time.Second)) + p.cfg.BootSlack
-		if age > limit {
+		if r.up.IsZero() && now.Sub(r.at) > limit || !r.up.IsZero() && now.Sub(r.up) > p.cfg.Silent {
 			drop = append(drop, id)
 			continue
 		}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -15,7 +15,7 @@
 var t0 = time.Unix(1_000_000, 0)
 
 var testConfig = Config{Horizon: 60 * time.Second, Idle: 20 * time.Second, BootFactor: 3, BootSlack: 5 * time.Second, Retry: 10 * time.Second,
-	OrdinaryRank: 1, OrdinaryWait: 20 * time.Second, ListLag: 4 * time.Second}
+	OrdinaryRank: 1, OrdinaryWait: 20 * time.Second, Silent: 20 * time.Second, ListLag: 4 * time.Second}
 
 func caps(string) (job.Need, bool) { return job.Need{CPUs: 4, Mem: 32}, true }
 
@@ -102,3 +102,17 @@
 		t.Errorf("a lagging list brought %v back", drop)
 	}
 }
+
+// After a change of divider no machine has reported yet, and the list shows old
+// machines as running. Once the whole fleet was given up for booting too long.
+func TestNewDividerKeepsTheFleet(t *testing.T) {
+	p, d := setup(t, "normal", 4, part.State{ID: "a", Flavor: "quad", Zone: "z", Spot: true})
+	p.List(t0, []protocol.Host{{UID: "a", Flavor: "quad", Yard: "z", Borrowed: true, Status: "running", HeldS: 500},
+		{UID: "b", Flavor: "quad", Yard: "z", Borrowed: true, Status: "running", HeldS: 500}})
+	if n, leave, drop := plan(p, d, t0.Add(time.Second)); n != 0 || len(leave)+len(drop) != 0 {
+		t.Errorf("hires %d, leaves %v, drops %v", n, leave, drop)
+	}
+	if _, _, drop := plan(p, d, t0.Add(21*time.Second)); len(drop) != 2 {
+		t.Errorf("never heard of: drops %v", drop)
+	}
+}
