--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -208,9 +208,11 @@
 		if !m.Usable || m.Leaving || m.Warned {
 			continue
 		}
-		// Tasks end within the horizon and others take their place.
-		half := job.Need{CPUs: m.Cap.CPUs * 0.5, Acc: m.Cap.Acc * 0.5, Mem: m.Cap.Mem * 0.5}
-		pool = append(pool, &room{Offer{m.Flavor, m.Zone, m.Spot}, half})
+		// Only what is free now: what runs there keeps its room for longer than
+		// the horizon, as far as anybody knows.
+		free := m.Free
+		free.CPUs, free.Acc, free.Mem = max(free.CPUs, 0), max(free.Acc, 0), max(free.Mem, 0)
+		pool = append(pool, &room{Offer{m.Flavor, m.Zone, m.Spot}, free})
 	}
 	sort.Slice(pool, func(i, j int) bool {
 		a, b := pool[i], pool[j]
