--- a/controller/controller.go
+++ b/controller/controller.go
@@ -107,7 +107,7 @@
 
 func (c *Controller) newPlanner() *fleet.Planner {
 	p := fleet.New(fleet.Config{
-		Horizon: settings.Seconds(c.pol.HorizonS), Idle: settings.Seconds(c.pol.IdleS),
+		Horizon: settings.Seconds(c.pol.HorizonS), IdleBoots: c.pol.IdleBoots,
 		BootFactor: c.pol.BootFactor, BootSlack: settings.Seconds(c.pol.BootSlackS),
 		Retry: settings.Seconds(c.pol.RefusalS), OrdinaryRank: c.pol.OrdinaryRank,
 		OrdinaryWait: settings.Seconds(c.pol.OrdinaryWaitS), ListLag: settings.Seconds(c.set.Facts.Cloud.ListLagS),
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -16,7 +16,7 @@
 // Config holds the fleet's times and bounds.
 type Config struct {
 	Horizon      time.Duration // work is to be drained within this
-	Idle         time.Duration // an idle machine goes after this
+	IdleBoots    float64       // an idle machine goes after this part of its boot time
 	BootFactor   float64       // a machine that boots this many times boot_s is given up
 	BootSlack    time.Duration
 	Retry        time.Duration // after a refusal
@@ -269,7 +269,7 @@
 	// An idle machine goes when nothing that waits could use it.
 	for _, id := range d.Order() {
 		m := d.Machines[id]
-		if m.Leaving || !m.Heard || m.Tasks+m.Queue > 0 || m.IdleS < p.cfg.Idle.Seconds() {
+		if m.Leaving || !m.Heard || m.Tasks+m.Queue > 0 || m.IdleS < p.idle(m.Flavor) {
 			continue
 		}
 		useful := false
@@ -287,6 +287,15 @@
 	return hires, leave, drop
 }
 
+// idle is how many seconds a machine may be idle. The longer its like takes to
+// boot, the longer it is worth keeping.
+func (p *Planner) idle(flavor string) float64 {
+	if f := p.Flavor(flavor); f != nil {
+		return f.BootS * p.cfg.IdleBoots
+	}
+	return 0
+}
+
 func less(a, b Offer) bool {
 	if a.Flavor != b.Flavor {
 		return a.Flavor < b.Flavor
--- a/policy/default.star
+++ b/policy/default.star
@@ -17,7 +17,7 @@
 sick_after = 3          # tasks failing on a machine that others complete
 
 horizon_s = 10.0        # the fleet is sized to drain its work in this time
-idle_s = 20.0           # an idle machine is returned after this
+idle_boots = 0.4        # an idle machine is returned after this part of its boot time
 boot_factor = 3.0       # a machine still booting after so many boot times is given up
 boot_slack_s = 5.0
 refusal_s = 10.0        # pause after the cloud had nothing to give
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,7 +32,7 @@
 	FaultMaxS     float64 `star:"fault_max_s" min:"1" max:"3600"`
 	SickAfter     int     `star:"sick_after" min:"1" max:"1000"`
 	HorizonS      float64 `star:"horizon_s" min:"1" max:"1e6"`
-	IdleS         float64 `star:"idle_s" min:"0" max:"1e6"`
+	IdleBoots     float64 `star:"idle_boots" min:"0" max:"1e6"`
 	BootFactor    float64 `star:"boot_factor" min:"1" max:"100"`
 	BootSlackS    float64 `star:"boot_slack_s" min:"0" max:"3600"`
 	RefusalS      float64 `star:"refusal_s" min:"0.5" max:"3600"`
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -21,11 +21,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p, err := load(t, "def half(x):\n    return x / 2\n_base = 12\nbuddies = _base\nidle_s = half(9)\nteam_weights = {\"red\": 3}\n")
+	p, err := load(t, "def half(x):\n    return x / 2\n_base = 12\nbuddies = _base\nidle_boots = half(9)\nteam_weights = {\"red\": 3}\n")
 	if err != nil {
 		t.Fatal(err)
 	}
-	if p.Buddies != 12 || p.IdleS != 4.5 || p.TeamWeights["red"] != 3 || p.LocalWaitS != d.LocalWaitS || d.Buddies != 10 {
+	if p.Buddies != 12 || p.IdleBoots != 4.5 || p.TeamWeights["red"] != 3 || p.LocalWaitS != d.LocalWaitS || d.Buddies != 10 {
 		t.Errorf("%+v", p)
 	}
 }
@@ -37,7 +37,7 @@
 		{"\n\nbuddies = 2.5\n", "site.star:3: buddies"},
 		{"local_wait_s = -1\n", "site.star:1: local_wait_s"},
 		{"buddy = 4\n", "site.star:1: buddy: unknown"},
-		{"idle_s = \"long\"\n", "site.star:1: idle_s"},
+		{"idle_boots = \"long\"\n", "site.star:1: idle_boots"},
 		{"team_weights = {\"red\": 0}\n", "site.star:1: team_weights"},
 		{"def f():\n    n = 0\n    for i in range(100000000):\n        n += i\n    return n\nbuddies = f()\n", "site.star:"},
 	} {
