--- a/controller/controller.go
+++ b/controller/controller.go
@@ -111,7 +111,7 @@
 		BootFactor: c.pol.BootFactor, BootSlack: settings.Seconds(c.pol.BootSlackS),
 		Retry: settings.Seconds(c.pol.RefusalS), OrdinaryRank: c.pol.OrdinaryRank,
 		OrdinaryWait: settings.Seconds(c.pol.OrdinaryWaitS), ListLag: settings.Seconds(c.set.Facts.Cloud.ListLagS),
-		Silent: 2 * c.lease,
+		Silent: 2 * c.lease, Settle: settings.Seconds(c.pol.SettleS), Spare: c.pol.Spare,
 	})
 	for _, f := range c.flavors {
 		p.Flavors = append(p.Flavors, f)
--- a/divide/divide.go
+++ b/divide/divide.go
@@ -698,3 +698,12 @@
 func (d *Divider) Stops(o int) []job.Task {
 	return d.stops[o]
 }
+
+// Job finds a live job.
+func (d *Divider) Job(uid string) *job.Live { return d.jobs.Get(uid) }
+
+// Saves tells whether a job's tasks keep their progress when they are stopped.
+func (d *Divider) Saves(uid string) bool {
+	l := d.jobs.Get(uid)
+	return l != nil && l.Spec.SnapshotS > 0
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -24,7 +24,8 @@
 	OrdinaryWait time.Duration // after waiting this long with no spot to be had
 	Silent       time.Duration // a machine listed as running that never reports
 	ListLag      time.Duration
-	MaxBoot      int // machines that boot at the same time, 0 for no bound
+	Settle       time.Duration // a start that ran this long stands
+	Spare        float64       // room kept free when draining, as a part of what is held
 }
 
 // Offer is what can be rented.
@@ -250,7 +251,7 @@
 		}
 		for slots > 0 {
 			o, c, ok := p.best(now, w, w.Rank, need, want)
-			if !ok || p.cfg.MaxBoot > 0 && booting >= p.cfg.MaxBoot {
+			if !ok {
 				break
 			}
 			want[o]++
@@ -283,10 +284,70 @@
 			leave = append(leave, id)
 		}
 	}
+	if len(leave) == 0 && len(waits) == 0 && len(hires) == 0 && booting == 0 {
+		if id := p.shrink(d); id != "" {
+			leave = append(leave, id)
+		}
+	}
 	sort.Strings(drop)
 	return hires, leave, drop
 }
 
+// shrink picks one machine to drain when nothing waits and the others have room
+// for all that it runs, with some to spare. What saves its progress is moved;
+// the rest ends where it is. Dear machines go first, then the emptiest.
+func (p *Planner) shrink(d *divide.Divider) string {
+	type load struct {
+		used  float64
+		young bool // has a start that would not count if it were stopped now
+	}
+	loads := map[string]*load{}
+	held := 0.0
+	for t, h := range d.Holding() {
+		l := loads[h.Machine]
+		if l == nil {
+			l = &load{}
+			loads[h.Machine] = l
+		}
+		l.used += h.Need.CPUs
+		held += h.Need.CPUs
+		if d.Saves(t.Job) && (!h.Task.Running || h.Task.ForS < p.cfg.Settle.Seconds()) {
+			l.young = true
+		}
+	}
+	free := 0.0
+	best, bestKey := "", math.Inf(1)
+	for _, id := range d.Order() {
+		m := d.Machines[id]
+		if m.Leaving || !m.Usable || m.Warned {
+			if m.Leaving {
+				return "" // one at a time
+			}
+			continue
+		}
+		free += max(m.Free.CPUs, 0)
+		l := loads[id]
+		if l == nil || l.young {
+			continue
+		}
+		key := l.used
+		if !m.Spot {
+			key -= 1e6
+		}
+		if key < bestKey {
+			best, bestKey = id, key
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	m := d.Machines[best]
+	if rest := free - max(m.Free.CPUs, 0); rest < loads[best].used+p.cfg.Spare*held {
+		return ""
+	}
+	return best
+}
+
 // idle is how many seconds a machine may be idle. The longer its like takes to
 // boot, the longer it is worth keeping.
 func (p *Planner) idle(flavor string) float64 {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -15,7 +15,7 @@
 var t0 = time.Unix(1_000_000, 0)
 
 var testConfig = Config{Horizon: 60 * time.Second, IdleBoots: 2, BootFactor: 3, BootSlack: 5 * time.Second, Retry: 10 * time.Second,
-	OrdinaryRank: 1, OrdinaryWait: 20 * time.Second, Silent: 20 * time.Second, ListLag: 4 * time.Second}
+	OrdinaryRank: 1, OrdinaryWait: 20 * time.Second, Silent: 20 * time.Second, Settle: 35 * time.Second, Spare: 0.1, ListLag: 4 * time.Second}
 
 func caps(string) (job.Need, bool) { return job.Need{CPUs: 4, Mem: 32}, true }
 
@@ -116,3 +116,33 @@
 		t.Errorf("never heard of: drops %v", drop)
 	}
 }
+
+// When nothing waits, a machine whose work fits elsewhere is drained: the dear
+// one first, one at a time, and only when what it would stop has stood a while.
+func TestDrainsWhatFitsElsewhere(t *testing.T) {
+	state := func(id string, spot bool, free float64) part.State {
+		return part.State{ID: id, Flavor: "quad", Zone: "z", Spot: spot, Usable: true, Heard: true, Tasks: 1, Room: job.Need{CPUs: free, Mem: 32}}
+	}
+	for _, c := range []struct {
+		name     string
+		free     float64
+		forS     float64
+		leaving  bool
+		expected []string
+	}{{"fits", 3, 50, false, []string{"c"}}, {"no room", 0, 50, false, nil}, {"too young", 3, 20, false, nil}, {"another drains", 3, 50, true, nil}} {
+		states := []part.State{state("a", true, c.free), state("b", true, 0), state("c", false, 3)}
+		states[1].Leaving = c.leaving
+		p, d := setup(t, "normal", 4, states...)
+		l := d.Job("wk-1")
+		l.Spec.SnapshotS = 10
+		held := part.HeldJob{UID: "wk-1", Team: "red", Need: job.Need{CPUs: 1}}
+		for i, id := range []string{"a", "b", "c", "b"} {
+			held.Tasks = append(held.Tasks, part.HeldTask{Index: i, Machine: id, Placed: true, Running: true, ForS: c.forS})
+		}
+		d.Digest(0, part.Digest{N: 2, Machines: states, Held: []part.HeldJob{held}}, t0)
+		d.Count(t0)
+		if _, leave, _ := plan(p, d, t0); !cmp.Equal(leave, c.expected) {
+			t.Errorf("%s: leaves %v, want %v", c.name, leave, c.expected)
+		}
+	}
+}
--- a/part/part.go
+++ b/part/part.go
@@ -540,9 +540,9 @@
 	if !m.usable() {
 		m.queue = nil
 	}
-	if m.warning {
-		// A notice: what can save does so now and goes on elsewhere; the rest
-		// may still complete.
+	if m.warning || m.leaving {
+		// A notice, or a drain: what can save does so now and goes on elsewhere;
+		// the rest may still complete.
 		for t, pl := range m.placed {
 			if l := p.jobs.Get(t.Job); l != nil && l.Spec.SnapshotS > 0 && !pl.stop && pl.status == "running" {
 				pl.stop, pl.grace = true, l.Spec.StashS*2+1
--- a/policy/default.star
+++ b/policy/default.star
@@ -18,6 +18,8 @@
 
 horizon_s = 10.0        # the fleet is sized to drain its work in this time
 idle_boots = 0.4        # an idle machine is returned after this part of its boot time
+settle_s = 35.0         # a start that ran this long stands, and may be stopped to drain a machine
+spare = 0.15            # room kept free when draining, as a part of what is in use
 boot_factor = 3.0       # a machine still booting after so many boot times is given up
 boot_slack_s = 5.0
 refusal_s = 10.0        # pause after the cloud had nothing to give
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,6 +33,8 @@
 	SickAfter     int     `star:"sick_after" min:"1" max:"1000"`
 	HorizonS      float64 `star:"horizon_s" min:"1" max:"1e6"`
 	IdleBoots     float64 `star:"idle_boots" min:"0" max:"1e6"`
+	SettleS       float64 `star:"settle_s" min:"0" max:"3600"`
+	Spare         float64 `star:"spare" min:"0" max:"100"`
 	BootFactor    float64 `star:"boot_factor" min:"1" max:"100"`
 	BootSlackS    float64 `star:"boot_slack_s" min:"0" max:"3600"`
 	RefusalS      float64 `star:"refusal_s" min:"0.5" max:"3600"`
