--- a/policy/default.star
+++ b/policy/default.star
@@ -11,7 +11,7 @@
 silent_part = 0.75      # a machine silent for this part of it is returned
 stale_s = 6.0           # no start on knowledge of the jobs older than this
 
-aging_s = 150.0         # waiting this long lifts work by one urgency
+aging_s = 600.0         # waiting this long lifts work by one urgency
 fault_pause_s = 2.0     # a job that fails everywhere pauses, twice as long each time
 fault_max_s = 60.0
 sick_after = 3          # tasks failing on a machine that others complete
