--- a/divide/divide.go
+++ b/divide/divide.go
@@ -9,6 +9,7 @@
 
 	"junipershelf/job"
 	"junipershelf/part"
+	"junipershelf/protocol"
 )
 
 // Config holds sizes and times.
@@ -304,11 +305,11 @@
 }
 
 // Level orders the waiting jobs: by urgency, and in it those that can be in time
-// first. One that cannot goes behind the next urgency's work that can, except
-// that urgent work never stands behind other work.
+// first. Those that cannot go behind all that can, except that urgent work never
+// stands behind other work.
 func (w *Wait) Level() int {
 	if w.Grade >= late && w.Rank >= ordinary {
-		return (w.Rank+1)*4 + w.Grade
+		return len(protocol.Urgencies)*4 + w.Grade
 	}
 	return w.Rank*4 + w.Grade
 }
@@ -380,7 +381,12 @@
 // before a target is too much for it (Moore and Hodgson's rule).
 func (d *Divider) grade(ws []*Wait, now time.Time) {
 	byTarget := func(a, b *Wait) bool {
-		if a.Rank != b.Rank {
+		if a.Grade >= late && b.Grade >= late && a.Level() == b.Level() {
+			// Nothing is to be won but an early end of it all: the longest first.
+			if ea, eb := estimate(a.Job), estimate(b.Job); ea != eb {
+				return ea > eb
+			}
+		} else if a.Rank != b.Rank {
 			return a.Rank < b.Rank
 		}
 		if !a.target.Equal(b.target) {
