--- a/controller/day_test.go
+++ b/controller/day_test.go
@@ -467,3 +467,32 @@
 		}
 	})
 }
+
+// Nodes that all start while the cloud is down once knew no machine sizes, so
+// that nothing was placed or accepted until the outage was over.
+func TestRestartDuringCloudOutage(t *testing.T) {
+	play(t, func(t *testing.T, d *day) {
+		d.submit(spec("wk-1", "red", 60))
+		time.Sleep(20 * time.Second)
+		d.cloud.Lock(func() { d.cloud.Down = true })
+		for _, n := range nodeNames {
+			d.crash(n, 100*time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+		before := 0
+		d.cloud.Lock(func() { before = d.cloud.Starts })
+		start := time.Now()
+		d.submit(spec("wk-2", "blue", 2))
+		if took := time.Since(start); took > 3*time.Second {
+			t.Errorf("accepted after %v", took)
+		}
+		time.Sleep(20 * time.Second)
+		d.cloud.Lock(func() {
+			if d.cloud.Starts == before {
+				t.Error("nothing was started during the outage")
+			}
+			d.cloud.Down = false
+		})
+		d.finish(map[string]int{"wk-1": 60, "wk-2": 2}, 5*time.Minute)
+	})
+}
--- a/controller/loops.go
+++ b/controller/loops.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"reflect"
 	"time"
 
 	"junipershelf/cloud"
@@ -190,19 +191,52 @@
 	}
 }
 
+// catalogueKey keeps the machine types in the state service: a node that starts
+// while the cloud is down would know no sizes, and could place and accept nothing.
+const catalogueKey = "catalogue"
+
 func (c *Controller) readFlavors(ctx context.Context) bool {
 	fl, err := c.cloud.Flavors(ctx)
-	if err != nil || len(fl) == 0 {
-		c.log.Debug("catalogue not read", "err", err)
-		return false
+	if err == nil && len(fl) > 0 {
+		c.mu.Lock()
+		changed := c.takeFlavors(fl)
+		c.mu.Unlock()
+		if raw, err := protocol.Marshal(protocol.Flavors{Flavors: fl}); changed && err == nil && len(raw) < c.store.ValueBytes() {
+			// Guarded by nothing: all nodes write the same.
+			if _, err := c.store.Multi(ctx, state.Rest, protocol.Multi{Then: []protocol.Change{{Set: catalogueKey, Data: raw}}}); err != nil {
+				c.log.Debug("catalogue not kept", "err", err)
+			}
+		}
+		return true
 	}
+	c.log.Debug("catalogue not read", "err", err)
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	known := len(c.flavors) > 0
+	c.mu.Unlock()
+	if known {
+		return false
+	}
+	e, err := c.store.Get(ctx, state.Roster, catalogueKey)
+	var kept protocol.Flavors
+	if err == nil && e.Stamp != 0 && protocol.Unmarshal(e.Data, &kept) == nil {
+		c.mu.Lock()
+		c.takeFlavors(kept.Flavors)
+		c.mu.Unlock()
+		c.log.Info("catalogue taken from the state service, the cloud does not answer")
+	}
+	return false
+}
+
+// takeFlavors takes a catalogue and tells whether anything but prices is new.
+func (c *Controller) takeFlavors(fl []protocol.Flavor) (changed bool) {
 	for _, f := range fl {
+		old, known := c.flavors[f.Label]
 		c.flavors[f.Label] = f
+		f.Rate, f.SpotPrice, old.Rate, old.SpotPrice = 0, 0, 0, 0
+		changed = changed || !known || !reflect.DeepEqual(old, f)
 	}
 	c.plan.Flavors = fl
-	return true
+	return changed
 }
 
 // flavorLoop reads the catalogue, and its moving prices once a minute.
