--- a/divide/divide.go
+++ b/divide/divide.go
@@ -86,13 +86,14 @@
 	info   map[string]*jobInfo
 	caps   part.Caps
 
-	held   map[job.Task]Held
-	perJob map[string]int
-	done   map[job.Task]bool
-	moves  []part.Move
-	stops  map[int][]job.Task
-	sick   map[string]map[job.Task]bool
-	Sick   map[string]bool
+	held    map[job.Task]Held
+	perJob  map[string]int
+	rates   map[string]*times
+	counted map[job.Task]bool
+	moves   []part.Move
+	stops   map[int][]job.Task
+	sick    map[string]map[job.Task]bool
+	Sick    map[string]bool
 
 	Machines map[string]*Room
 	order    []string
@@ -111,7 +112,7 @@
 // New makes the divider of a view with as many owners as it has members.
 func New(cfg Config, teams []Team, owners int, caps part.Caps, jobs *job.Mirror) *Divider {
 	d := &Divider{cfg: cfg, Teams: teams, byName: map[string]int{}, jobs: jobs, owners: make([]owner, owners), caps: caps,
-		info: map[string]*jobInfo{}, sick: map[string]map[job.Task]bool{}, Sick: map[string]bool{}}
+		info: map[string]*jobInfo{}, rates: map[string]*times{}, counted: map[job.Task]bool{}, sick: map[string]map[job.Task]bool{}, Sick: map[string]bool{}}
 	for i, t := range teams {
 		d.byName[t.Name] = i
 	}
@@ -173,8 +174,35 @@
 	return i
 }
 
-func (d *Divider) completed(t job.Task) {
+// times compares how long a class's tasks ran with what their owners expected.
+type times struct{ ran, expected float64 }
+
+// prior is how many tasks' worth of belief the owners' own estimates have.
+const prior = 8
+
+// estimate is how long a job's tasks are likely to run. Owners' estimates are
+// often wrong, and on some days mostly on one side.
+func (d *Divider) estimate(l *job.Live) float64 {
+	e := max(l.Spec.ExpectedS, 1)
+	if r := d.rates[l.Spec.Queue]; r != nil {
+		e *= min(max(r.ran/r.expected, 0.25), 4)
+	}
+	return e
+}
+
+func (d *Divider) completed(done part.DoneTask) {
+	t := done.Task
 	if l := d.jobs.Get(t.Job); l != nil {
+		if done.RanS > 0 && l.Spec.ExpectedS > 0 && !d.counted[t] {
+			d.counted[t] = true
+			r := d.rates[l.Spec.Queue]
+			if r == nil {
+				r = &times{prior * l.Spec.ExpectedS, prior * l.Spec.ExpectedS}
+				d.rates[l.Spec.Queue] = r
+			}
+			r.ran += done.RanS
+			r.expected += l.Spec.ExpectedS
+		}
 		l.Finished.Add(t.Index)
 		if i := d.info[t.Job]; i != nil && !i.completed {
 			i.completed = true
@@ -263,6 +291,11 @@
 		}
 	}
 	sort.Strings(d.order)
+	for t := range d.counted {
+		if d.jobs.Get(t.Job) == nil {
+			delete(d.counted, t)
+		}
+	}
 	for uid := range d.info {
 		if d.jobs.Get(uid) == nil {
 			delete(d.info, uid)
@@ -334,7 +367,7 @@
 			continue
 		}
 		w := &Wait{Job: l, Team: l.Team, Tasks: n, Age: now.Sub(time.UnixMilli(l.At)), Rank: l.Rank,
-			work: float64(n) * l.Spec.CPUs * estimate(l)}
+			work: float64(n) * l.Spec.CPUs * d.estimate(l)}
 		if d.cfg.Aging > 0 {
 			// Waiting lifts work, so the low is not starved.
 			w.Rank = max(0, w.Rank-int(w.Age/d.cfg.Aging))
@@ -345,13 +378,11 @@
 	return out
 }
 
-func estimate(l *job.Live) float64 { return max(l.Spec.ExpectedS, 1) }
-
 // targets are the times by which a job should have started or be complete, as
 // far as it alone could still meet them, given as the latest end of its work.
 func (d *Divider) targets(w *Wait, now time.Time) []time.Time {
 	var out []time.Time
-	est := time.Duration(estimate(w.Job) * float64(time.Second))
+	est := time.Duration(d.estimate(w.Job) * float64(time.Second))
 	at := time.UnixMilli(w.Job.At)
 	for _, t := range d.cfg.Targets[w.Job.Spec.Queue] {
 		by := at.Add(t.Within)
@@ -383,7 +414,7 @@
 	byTarget := func(a, b *Wait) bool {
 		if a.Grade >= late && b.Grade >= late && a.Level() == b.Level() {
 			// Nothing is to be won but an early end of it all: the longest first.
-			if ea, eb := estimate(a.Job), estimate(b.Job); ea != eb {
+			if ea, eb := d.estimate(a.Job), d.estimate(b.Job); ea != eb {
 				return ea > eb
 			}
 		} else if a.Rank != b.Rank {
@@ -405,7 +436,7 @@
 	for t, h := range d.held {
 		left := h.Need.CPUs * 10
 		if l := d.jobs.Get(t.Job); l != nil {
-			left = h.Need.CPUs * max(estimate(l)-h.Task.ForS, estimate(l)/4)
+			left = h.Need.CPUs * max(d.estimate(l)-h.Task.ForS, d.estimate(l)/4)
 		}
 		busy += left
 		if n, ok := d.byName[h.Team]; ok {
--- a/divide/divide_test.go
+++ b/divide/divide_test.go
@@ -46,7 +46,7 @@
 	n    uint64
 	ack  uint64
 	held map[job.Task]string
-	done []job.Task
+	done []part.DoneTask
 	ids  []string
 	old  []part.Digest
 }
@@ -121,7 +121,7 @@
 					delete(o.held, tk)
 					if rapid.Bool().Draw(t, "done") {
 						finished[tk] = true
-						o.done = append(o.done, tk)
+						o.done = append(o.done, part.DoneTask{Task: tk})
 					}
 					break
 				}
@@ -196,3 +196,23 @@
 		t.Error("a machine that fails all tasks is not found sick")
 	}
 }
+
+// Estimates that are mostly wrong on one side are corrected by what tasks of the
+// class took, each counted once.
+func TestEstimatesAreCorrected(t *testing.T) {
+	m := mirror(protocol.Spec{UID: "wk-1", Owner: "blue", Queue: "q", CPUs: 1, Pieces: 90, ExpectedS: 10})
+	d := New(testConfig, teams(), 1, caps, m)
+	var done []part.DoneTask
+	for i := range 40 {
+		done = append(done, part.DoneTask{Task: job.Task{Job: "wk-1", Index: i}, RanS: 30})
+	}
+	if e := d.estimate(m.Get("wk-1")); e != 10 {
+		t.Errorf("with nothing known: %v", e)
+	}
+	for n := range uint64(3) {
+		d.Digest(0, part.Digest{N: n + 1, Done: done}, t0)
+	}
+	if e := d.estimate(m.Get("wk-1")); e < 26 || e > 27 {
+		t.Errorf("after 40 tasks of 30 s: %v", e)
+	}
+}
--- a/part/commit.go
+++ b/part/commit.go
@@ -202,7 +202,7 @@
 	}
 	if pl.done {
 		p.Counts.Done++
-		p.ended = append(p.ended, Ended{Task: pl.Task, At: now})
+		p.ended = append(p.ended, Ended{Task: pl.Task, At: now, RanS: pl.ran})
 	}
 }
 
--- a/part/digest.go
+++ b/part/digest.go
@@ -45,6 +45,12 @@
 	Tasks []HeldTask `msgpack:"k"`
 }
 
+// DoneTask was recorded as done a short while ago.
+type DoneTask struct {
+	Task job.Task `msgpack:"t"`
+	RanS float64  `msgpack:"r"` // 0: not known
+}
+
 // Digest is all that the divider needs to know of an owner. It is whole each
 // time, so a lost or repeated one does no harm.
 type Digest struct {
@@ -52,7 +58,7 @@
 	Ack      uint64     `msgpack:"a"`
 	Machines []State    `msgpack:"m"`
 	Held     []HeldJob  `msgpack:"h"`
-	Done     []job.Task `msgpack:"d"`
+	Done     []DoneTask `msgpack:"d"`
 	Moves    []Move     `msgpack:"v"`
 	Faults   []Fault    `msgpack:"f"`
 	Gone     []string   `msgpack:"g"`
@@ -117,7 +123,7 @@
 	}
 	sort.Slice(d.Held, func(i, j int) bool { return d.Held[i].UID < d.Held[j].UID })
 	for _, e := range p.ended {
-		d.Done = append(d.Done, e.Task)
+		d.Done = append(d.Done, DoneTask{e.Task, e.RanS})
 	}
 	for id := range p.gone {
 		d.Gone = append(d.Gone, id)
--- a/part/part.go
+++ b/part/part.go
@@ -42,7 +42,8 @@
 	inherited bool
 	sent      bool
 	sentTick  uint64
-	status    string // as last reported
+	status    string  // as last reported
+	ran       float64 // seconds, as far as reports showed
 	since     time.Time
 	stop      bool
 	grace     float64
@@ -142,6 +143,7 @@
 type Ended struct {
 	Task job.Task
 	At   time.Time
+	RanS float64
 }
 
 // New makes the part of a member in a view.
@@ -305,6 +307,9 @@
 		}
 		reported[t] = true
 		if pc.Status != pl.status {
+			if pl.status == "running" {
+				pl.ran = now.Sub(pl.since).Seconds()
+			}
 			pl.since = now
 		}
 		pl.status = pc.Status
