--- a/controller/front.go
+++ b/controller/front.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net/http"
+	"strings"
 	"time"
 
 	"junipershelf/divide"
@@ -346,6 +348,9 @@
 		c.mu.Unlock()
 		return busy
 	}
+	if c.say("up " + b.Host) {
+		c.log.Debug("machine reports", "machine", b.Host, "flavor", b.Flavor, "zone", b.Yard, "spot", b.Borrowed)
+	}
 	fresh := p.Report(now, b)
 	if !fresh {
 		c.mu.Unlock()
@@ -381,6 +386,17 @@
 	orders := p.Orders(time.Now(), b.Host, b.Shift, b.Tick)
 	if orders == nil {
 		orders = []protocol.Order{}
+	} else if c.log.Enabled(ctx, slog.LevelDebug) {
+		c.log.Debug("orders", "machine", b.Host, "tick", b.Tick, "orders", orderText(orders))
 	}
 	return front.Answer{Code: 200, Body: protocol.BeatReply{Baton: view, Orders: orders}}
 }
+
+// orderText shortens orders for the log.
+func orderText(orders []protocol.Order) string {
+	var b strings.Builder
+	for _, o := range orders {
+		b.WriteString(o.Verb[:1] + " " + o.Piece + "; ")
+	}
+	return b.String()
+}
