--- a/controller/controller.go
+++ b/controller/controller.go
@@ -435,9 +435,13 @@
 		c.log.Error("commit cannot be encoded", "err", err)
 		return false
 	}
-	unknown := false
-	for ctx.Err() == nil {
-		epoch, err := c.store.Multi(ctx, state.Part, m)
+	unknown, tries, began := false, 0, time.Now()
+	for class := state.Part; ctx.Err() == nil; class = state.User {
+		// Only the first try pays; in an outage the others would run up a debt.
+		epoch, err := c.store.Multi(ctx, class, m)
+		if c.log.Enabled(ctx, slog.LevelDebug) {
+			c.log.Debug("commit", "machines", len(cm.Machines), "jobs", len(cm.Jobs), "changes", len(m.Then), "took", time.Since(began), "err", err)
+		}
 		if conflict, ok := err.(*state.Conflict); ok {
 			return c.resolve(ctx, p, cm, conflict)
 		}
@@ -458,16 +462,20 @@
 		}
 		if !isRefused(err) {
 			unknown = true
-		} else if !unknown {
+		}
+		// It may have been executed, or may be yet: the same transaction again
+		// settles it, since its guards hold only once. One that was refused goes
+		// out again as well, unless it waits for so long that more has come up.
+		tries++
+		if !unknown && tries >= 3 {
+			// Smaller ones find room in the limit that large ones do not.
 			c.mu.Lock()
 			p.Refused(cm)
+			p.Conflicted()
 			c.mu.Unlock()
-			sleep(ctx, 100*time.Millisecond)
 			poke(c.dirty)
 			return false
 		}
-		// It may have been executed, or may be yet: the same transaction again
-		// settles it, since its guards hold only once.
 		sleep(ctx, 100*time.Millisecond)
 	}
 	return false
@@ -580,6 +588,7 @@
 	}
 	c.mu.Lock()
 	p.Refused(cm)
+	p.Conflicted()
 	c.wake()
 	c.mu.Unlock()
 	return true
--- a/part/commit.go
+++ b/part/commit.go
@@ -57,9 +57,13 @@
 	return false
 }
 
+// minOps is what a commit can always hold: a machine, and a job's end.
+const minOps = 4
+
 // NextCommit collects what is to be committed, or nil. Machines in first come
 // first. The commit must be settled before the next one is made.
 func (p *Part) NextCommit(first map[string]bool) *Commit {
+	most := p.cfg.TxnOps >> p.shrunk
 	var ids []string
 	for _, id := range p.ids {
 		if p.Dirty(id) || p.machines[id].gone {
@@ -76,7 +80,7 @@
 	ops := 0
 	for _, id := range ids {
 		m := p.machines[id]
-		if ops+1 > p.cfg.TxnOps {
+		if ops+1 > max(most, minOps) {
 			break
 		}
 		w := MachineWrite{ID: id, Stamp: m.stamp}
@@ -106,7 +110,7 @@
 				if r.Len() >= l.Spec.Pieces {
 					jw.Ended = &job.Ended{Status: job.Done, Done: l.Spec.Pieces}
 				}
-				if base-was+jw.Ops() > p.cfg.TxnOps {
+				if base-was+jw.Ops() > max(most, minOps) {
 					continue // with the next commit
 				}
 				base += jw.Ops() - was
@@ -162,6 +166,7 @@
 
 // Committed settles a commit that passed at an epoch.
 func (p *Part) Committed(c *Commit, epoch uint64, now time.Time) {
+	p.shrunk = max(p.shrunk-1, 0)
 	for _, jw := range c.Jobs {
 		if jw.Ended != nil {
 			p.jobs.Drop(jw.UID, now)
@@ -206,6 +211,10 @@
 	}
 }
 
+// Conflicted makes the next commits smaller: a failed one costs all its changes,
+// and the fewer jobs it holds the less often another owner was faster.
+func (p *Part) Conflicted() { p.shrunk = min(p.shrunk+1, 2) }
+
 // Reread settles a commit whose guards failed with what the store shows now.
 // A write of ours that passed unseen stands in the record; what the record
 // lacks was not placed and never will be, since its guard is stale.
--- a/part/part.go
+++ b/part/part.go
@@ -119,6 +119,7 @@
 
 	ack     uint64
 	digests uint64
+	shrunk  int // halvings of the next commit's size
 	moves   []Move
 	faults  []Fault
 	ended   []Ended
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -24,7 +24,7 @@
 )
 
 // Parts is the number of hash buckets that machines fall into.
-const Parts = 16
+const Parts = 128
 
 // Member is one run of a node: its incarnation is the grant's own id.
 type Member struct {
--- a/state/state.go
+++ b/state/state.go
@@ -49,13 +49,13 @@
 // Client calls the state service within a node's share of its limits.
 type Client struct {
 	call, long *wire.Client
-	requests   *rate.Limiter
-	changes    *rate.Limiter
-	txnOps     int
-	valueBytes int
+	lim        settings.StateLimits
 
-	mu     sync.Mutex
-	lastOK time.Time
+	mu       sync.Mutex
+	requests *rate.Limiter
+	changes  *rate.Limiter
+	lastOK   time.Time
+	down     bool // the last answer was 503
 }
 
 // Timeout is how long a call may take.
@@ -63,20 +63,28 @@
 
 // New makes a client.
 func New(dial wire.Dial, addr string, lim settings.StateLimits) *Client {
-	return &Client{
-		call: wire.New(dial, addr, 16), long: wire.New(dial, addr, 4),
-		requests: rate.NewLimiter(rate.Limit(lim.RPS*0.5), max(1, int(lim.RPS*0.4))),
-		changes:  rate.NewLimiter(rate.Limit(lim.WriteRPS*0.5), max(lim.TxnOps, int(lim.WriteRPS*0.5))),
-		txnOps:   lim.TxnOps, valueBytes: int(lim.ValueKB * 1024),
-		lastOK: time.Now(),
-	}
+	c := &Client{call: wire.New(dial, addr, 16), long: wire.New(dial, addr, 4), lim: lim, lastOK: time.Now()}
+	c.refill()
+	return c
+}
+
+// refill gives both limits their full burst.
+func (c *Client) refill() {
+	c.requests = rate.NewLimiter(rate.Limit(c.lim.RPS*0.5), max(1, int(c.lim.RPS*0.4)))
+	c.changes = rate.NewLimiter(rate.Limit(c.lim.WriteRPS*0.5), max(c.lim.TxnOps, int(c.lim.WriteRPS*0.5)))
+}
+
+func (c *Client) limits() (requests, changes *rate.Limiter) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requests, c.changes
 }
 
 // TxnOps is the most changes that a transaction may hold.
-func (c *Client) TxnOps() int { return c.txnOps }
+func (c *Client) TxnOps() int { return c.lim.TxnOps }
 
 // ValueBytes is the largest value, counted in the JSON form.
-func (c *Client) ValueBytes() int { return c.valueBytes }
+func (c *Client) ValueBytes() int { return int(c.lim.ValueKB * 1024) }
 
 // Silence is how long ago the service last answered.
 func (c *Client) Silence() time.Duration {
@@ -85,19 +93,16 @@
 	return time.Since(c.lastOK)
 }
 
-func (c *Client) pace(ctx context.Context, class Class, changes int) error {
+func (c *Client) pace(ctx context.Context, class Class, n int) error {
+	requests, changes := c.limits()
 	if class <= User {
-		c.requests.ReserveN(time.Now(), 1)
-		if changes > 0 {
-			c.changes.ReserveN(time.Now(), min(changes, c.changes.Burst()))
-		}
 		return nil
 	}
-	if err := c.requests.Wait(ctx); err != nil {
+	if err := requests.Wait(ctx); err != nil {
 		return fmt.Errorf("%w: %v", ErrRefused, err)
 	}
-	if changes > 0 {
-		if err := c.changes.WaitN(ctx, min(changes, c.changes.Burst())); err != nil {
+	if n > 0 {
+		if err := changes.WaitN(ctx, min(n, changes.Burst())); err != nil {
 			return fmt.Errorf("%w: %v", ErrRefused, err)
 		}
 	}
@@ -110,20 +115,37 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, Timeout)
 	defer cancel()
-	return c.finish(c.call.Call(ctx, method, path, body, out))
+	code, err := c.finish(c.call.Call(ctx, method, path, body, out))
+	if class <= User && !errors.Is(err, ErrRefused) {
+		// Paid for afterwards, since what is refused is not used: a debt for it
+		// once held all commits up for seconds after an outage.
+		requests, paid := c.limits()
+		requests.ReserveN(time.Now(), 1)
+		if changes > 0 {
+			paid.ReserveN(time.Now(), min(changes, paid.Burst()))
+		}
+	}
+	return code, err
 }
 
 func (c *Client) finish(code int, err error) (int, error) {
 	if err != nil {
 		return 0, err
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	switch code {
 	case 429, 503:
+		c.down = c.down || code == 503
 		return code, fmt.Errorf("%w: %d", ErrRefused, code)
 	case 200, 404, 409, 410, 400:
-		c.mu.Lock()
 		c.lastOK = time.Now()
-		c.mu.Unlock()
+		if c.down {
+			// What was refused in an outage was not used: calls that paid for
+			// it must not be held up by that once the service is back.
+			c.down = false
+			c.refill()
+		}
 		return code, nil
 	}
 	return code, fmt.Errorf("%w: status %d", ErrUnknown, code)
