--- a/controller/controller.go
+++ b/controller/controller.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -143,7 +144,7 @@
 		g.Go(func() error { return srv.Serve(ll) })
 		g.Go(func() error { <-ctx.Done(); return srv.Close() })
 	}
-	for _, loop := range []func(context.Context){c.roster.Run, c.viewLoop, c.mirrorLoop, c.tickLoop, c.commitLoop,
+	for _, loop := range []func(context.Context){c.roster.Run, c.viewLoop, c.mirrorLoop, c.tickLoop, c.commitLoop, c.mergeLoop,
 		c.syncLoop, c.divideLoop, c.returnLoop, c.flavorLoop, c.listLoop, c.pingLoop} {
 		g.Go(func() error { loop(ctx); return ctx.Err() })
 	}
@@ -440,7 +441,7 @@
 		// Only the first try pays; in an outage the others would run up a debt.
 		epoch, err := c.store.Multi(ctx, class, m)
 		if c.log.Enabled(ctx, slog.LevelDebug) {
-			c.log.Debug("commit", "machines", len(cm.Machines), "jobs", len(cm.Jobs), "changes", len(m.Then), "took", time.Since(began), "err", err)
+			c.log.Debug("commit", "machines", len(cm.Machines), "took", time.Since(began), "err", err)
 		}
 		if conflict, ok := err.(*state.Conflict); ok {
 			return c.resolve(ctx, p, cm, conflict)
@@ -448,11 +449,6 @@
 		if err == nil {
 			c.mu.Lock()
 			p.Committed(cm, epoch, time.Now())
-			for _, jw := range cm.Jobs {
-				if jw.Ended != nil {
-					c.finals[jw.UID] = *jw.Ended
-				}
-			}
 			c.wake()
 			c.mu.Unlock()
 			return true
@@ -508,18 +504,100 @@
 			return m, err
 		}
 	}
-	for _, w := range cm.Jobs {
-		m.Guards = append(m.Guards, protocol.Guard{Key: job.Key(w.UID), Stamp: w.Stamp})
-		if w.Ended != nil {
-			m.Then = append(m.Then, protocol.Change{Delete: job.Key(w.UID)})
-			if err := set(job.EndedKey(w.UID), w.Ended); err != nil {
-				return m, err
+	return m, nil
+}
+
+// reread reads a key for as long as the part is ours.
+func (c *Controller) reread(ctx context.Context, p *part.Part, key string) (protocol.Entry, bool) {
+	for ctx.Err() == nil && !c.stale(p) {
+		e, err := c.store.Get(ctx, state.Part, key)
+		if err == nil {
+			return e, true
+		}
+		sleep(ctx, 100*time.Millisecond)
+	}
+	return protocol.Entry{}, false
+}
+
+// mergeLoop is the divider's: it takes finished tasks over into the jobs' records
+// and ends the jobs that are complete.
+func (c *Controller) mergeLoop(ctx context.Context) {
+	for sleep(ctx, 200*time.Millisecond) {
+		c.mu.Lock()
+		p, d, view := c.part, c.div, c.view
+		var ms []divide.Merge
+		if p != nil && d != nil {
+			ms = d.Merges(time.Now(), settings.Seconds(c.pol.MergeS), c.store.TxnOps()/2)
+			d.Merging(ms, time.Now())
+		}
+		c.mu.Unlock()
+		if len(ms) > 0 {
+			if err := c.merge(ctx, p, view, ms); err != nil {
+				c.log.Error("merge cannot be encoded", "err", err)
 			}
-		} else if err := set(job.Key(w.UID), w.Rec); err != nil {
-			return m, err
 		}
 	}
-	return m, nil
+}
+
+func (c *Controller) merge(ctx context.Context, p *part.Part, view roster.View, ms []divide.Merge) error {
+	m := protocol.Multi{Guards: []protocol.Guard{{Key: roster.ViewKey, Stamp: view.Stamp}}}
+	for _, x := range ms {
+		m.Guards = append(m.Guards, protocol.Guard{Key: job.Key(x.UID), Stamp: x.Stamp})
+		key, v := job.Key(x.UID), any(x.Rec)
+		if x.Ended != nil {
+			m.Then = append(m.Then, protocol.Change{Delete: key})
+			key, v = job.EndedKey(x.UID), *x.Ended
+		}
+		raw, err := protocol.Marshal(v)
+		if err != nil {
+			return err
+		}
+		m.Then = append(m.Then, protocol.Change{Set: key, Data: raw})
+	}
+	for class := state.Part; ctx.Err() == nil && !c.stale(p); class = state.User {
+		epoch, err := c.store.Multi(ctx, class, m)
+		var conflict *state.Conflict
+		switch {
+		case err == nil:
+			now := time.Now()
+			for _, x := range ms {
+				if x.Ended != nil {
+					c.remember(x.UID, *x.Ended)
+					continue
+				}
+				c.mu.Lock()
+				_ = c.mirror.Set(x.UID, x.Rec, epoch, now)
+				c.mu.Unlock()
+			}
+			return nil
+		case errors.As(err, &conflict):
+			// Cancelled meanwhile, or this transaction passed unseen.
+			for _, k := range conflict.Failed {
+				if k == roster.ViewKey {
+					c.roster.Higher(view.Number + 1)
+					return nil
+				}
+			}
+			for _, k := range conflict.Failed {
+				e, ok := c.reread(ctx, p, k)
+				if !ok {
+					return nil
+				}
+				uid := k[len(job.Key("")):]
+				c.mu.Lock()
+				if e.Stamp == 0 {
+					c.mirror.Drop(uid, time.Now())
+				} else {
+					c.takeJob(uid, e.Data, e.Stamp, time.Now())
+				}
+				c.mu.Unlock()
+			}
+			return nil
+		}
+		// Its guards hold once at most, so sending it again settles it.
+		sleep(ctx, 100*time.Millisecond)
+	}
+	return nil
 }
 
 // resolve reads what a failed commit touched and settles it from that.
@@ -541,32 +619,7 @@
 	for _, k := range conflict.Failed {
 		failed[k] = true
 	}
-	get := func(key string) (protocol.Entry, bool) {
-		for ctx.Err() == nil && !c.stale(p) {
-			e, err := c.store.Get(ctx, state.Part, key)
-			if err == nil {
-				return e, true
-			}
-			sleep(ctx, 100*time.Millisecond)
-		}
-		return protocol.Entry{}, false
-	}
-	for _, w := range cm.Jobs {
-		if !failed[job.Key(w.UID)] {
-			continue
-		}
-		e, ok := get(job.Key(w.UID))
-		if !ok {
-			return false
-		}
-		c.mu.Lock()
-		if e.Stamp == 0 {
-			c.mirror.Drop(w.UID, time.Now())
-		} else {
-			c.takeJob(w.UID, e.Data, e.Stamp, time.Now())
-		}
-		c.mu.Unlock()
-	}
+	get := func(key string) (protocol.Entry, bool) { return c.reread(ctx, p, key) }
 	for _, w := range cm.Machines {
 		if !failed[part.Key(w.ID)] {
 			continue
--- a/divide/divide.go
+++ b/divide/divide.go
@@ -89,6 +89,7 @@
 	held    map[job.Task]Held
 	perJob  map[string]int
 	rates   map[string]*times
+	merged  map[string]time.Time
 	counted map[job.Task]bool
 	moves   []part.Move
 	stops   map[int][]job.Task
@@ -112,7 +113,8 @@
 // New makes the divider of a view with as many owners as it has members.
 func New(cfg Config, teams []Team, owners int, caps part.Caps, jobs *job.Mirror) *Divider {
 	d := &Divider{cfg: cfg, Teams: teams, byName: map[string]int{}, jobs: jobs, owners: make([]owner, owners), caps: caps,
-		info: map[string]*jobInfo{}, rates: map[string]*times{}, counted: map[job.Task]bool{}, sick: map[string]map[job.Task]bool{}, Sick: map[string]bool{}}
+		merged: map[string]time.Time{},
+		info:   map[string]*jobInfo{}, rates: map[string]*times{}, counted: map[job.Task]bool{}, sick: map[string]map[job.Task]bool{}, Sick: map[string]bool{}}
 	for i, t := range teams {
 		d.byName[t.Name] = i
 	}
@@ -123,6 +125,9 @@
 func (d *Divider) Inherit(o int, dg part.Digest) {
 	if !d.owners[o].synced {
 		d.owners[o].digest = dg
+		for _, t := range dg.Done {
+			d.completed(t)
+		}
 	}
 }
 
@@ -594,7 +599,7 @@
 	l := w.Job
 	// Finished tasks are kept as ranges: holes far behind would grow the record
 	// past what a value may hold.
-	lag := l.Finished.Spans()*14+1500 > d.cfg.ValueBytes/2
+	lag := l.Finished.Spans()*14+specRoom > d.cfg.ValueBytes/2
 	for i := w.next; i < l.Spec.Pieces; i++ {
 		if l.Finished.Has(i) {
 			continue
@@ -744,3 +749,78 @@
 	l := d.jobs.Get(uid)
 	return l != nil && l.Spec.SnapshotS > 0
 }
+
+// Merge is a job whose record is to take finished tasks that so far stand only
+// in machines' records, or which is over.
+type Merge struct {
+	UID   string
+	Stamp uint64
+	Rec   job.Record
+	Ended *job.Ended
+}
+
+// Ops is how many changes it takes.
+func (m *Merge) Ops() int {
+	if m.Ended != nil {
+		return 2
+	}
+	return 1
+}
+
+// Merges lists what the jobs' records lack, those that are complete first and at
+// most ops changes. The divider is the only one who writes finished tasks there,
+// so that owners never get into each other's way; what it writes is true in any
+// view, and what it does not write yet is safe in the machines' records.
+func (d *Divider) Merges(now time.Time, every time.Duration, ops int) []Merge {
+	var out []Merge
+	for uid, l := range d.jobs.Jobs {
+		have := l.Finished.Len()
+		if have == l.Merged.Len() {
+			continue
+		}
+		m := Merge{UID: uid, Stamp: l.Stamp, Rec: l.Record}
+		if have >= l.Spec.Pieces {
+			m.Ended = &job.Ended{Status: job.Done, Done: l.Spec.Pieces}
+		} else if now.Sub(d.merged[uid]) < every {
+			continue
+		}
+		m.Rec.Done = l.Finished.String()
+		if m.Ended == nil && len(m.Rec.Done)+specRoom > d.cfg.ValueBytes {
+			continue // later, when the holes are filled
+		}
+		out = append(out, m)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		a, b := &out[i], &out[j]
+		if (a.Ended != nil) != (b.Ended != nil) {
+			return a.Ended != nil
+		}
+		if x, y := d.merged[a.UID], d.merged[b.UID]; !x.Equal(y) {
+			return x.Before(y)
+		}
+		return a.UID < b.UID
+	})
+	n := 0
+	for i := range out {
+		if n += out[i].Ops(); n > ops {
+			return out[:i]
+		}
+	}
+	return out
+}
+
+// Merging notes that merges are under way.
+func (d *Divider) Merging(ms []Merge, now time.Time) {
+	for uid := range d.merged {
+		if d.jobs.Get(uid) == nil {
+			delete(d.merged, uid)
+		}
+	}
+	for _, m := range ms {
+		d.merged[m.UID] = now
+	}
+}
+
+// specRoom is what a job's record takes beside its ranges, at the most that is
+// accepted.
+const specRoom = 1500
--- a/divide/divide_test.go
+++ b/divide/divide_test.go
@@ -216,3 +216,60 @@
 		t.Errorf("after 40 tasks of 30 s: %v", e)
 	}
 }
+
+// Finished tasks enter the record of an unfinished job now and then, those of a
+// complete one at once; a record never outgrows its value.
+func TestMerges(t *testing.T) {
+	m := mirror(protocol.Spec{UID: "wk-1", Owner: "blue", CPUs: 1, Pieces: 3}, protocol.Spec{UID: "wk-2", Owner: "blue", CPUs: 1, Pieces: 100000})
+	d := New(testConfig, teams(), 1, caps, m)
+	tell := func(n uint64, tasks ...job.Task) {
+		var done []part.DoneTask
+		for _, tk := range tasks {
+			done = append(done, part.DoneTask{Task: tk})
+		}
+		d.Digest(0, part.Digest{N: n, Done: done}, t0)
+	}
+	tell(1, job.Task{Job: "wk-1", Index: 2}, job.Task{Job: "wk-1", Index: 0})
+	ms := d.Merges(t0, time.Second, 16)
+	if len(ms) != 1 || ms[0].Rec.Done != "0,2" || ms[0].Ended != nil {
+		t.Fatalf("%+v", ms)
+	}
+	d.Merging(ms, t0)
+	if err := m.Set("wk-1", ms[0].Rec, 2, t0); err != nil {
+		t.Fatal(err)
+	}
+	if ms = d.Merges(t0.Add(time.Second), time.Second, 16); len(ms) != 0 {
+		t.Fatalf("again: %+v", ms)
+	}
+	tell(2, job.Task{Job: "wk-1", Index: 1})
+	if ms = d.Merges(t0.Add(time.Millisecond), time.Second, 16); len(ms) != 1 || ms[0].Ended == nil || ms[0].Ended.Done != 3 || ms[0].Ops() != 2 {
+		t.Fatalf("complete: %+v", ms)
+	}
+	if ms = d.Merges(t0, time.Second, 1); len(ms) != 0 {
+		t.Fatalf("over the number of changes: %+v", ms)
+	}
+	m.Drop("wk-1", t0)
+	for i := 0; i < 6000; i += 2 {
+		m.Get("wk-2").Finished.Add(i)
+	}
+	if ms = d.Merges(t0.Add(time.Minute), time.Second, 16); len(ms) != 0 {
+		t.Error("a record outgrows its value")
+	}
+}
+
+// With holes far behind, a job's later tasks wait until they are filled.
+func TestHolesBoundTheRecord(t *testing.T) {
+	m := mirror(protocol.Spec{UID: "wk-1", Owner: "blue", CPUs: 1, Pieces: 100000})
+	d := New(testConfig, teams(), 1, caps, m)
+	l := m.Get("wk-1")
+	for i := 1; i < 600; i += 2 {
+		l.Finished.Add(i)
+	}
+	d.Digest(0, part.Digest{N: 1, Machines: []part.State{machine("a")}}, t0)
+	d.Allot(t0)
+	for n, a := range d.Unacked(0) {
+		if a.Index != 2*n {
+			t.Errorf("allotment %d is task %d", n, a.Index)
+		}
+	}
+}
--- a/job/job.go
+++ b/job/job.go
@@ -2,7 +2,10 @@
 package job
 
 import (
+	"cmp"
 	"fmt"
+	"iter"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -123,13 +126,32 @@
 	r.spans = out
 }
 
+// All gives the numbers of the set in order.
+func (r Ranges) All() iter.Seq[int] {
+	return func(yield func(int) bool) {
+		for _, s := range r.spans {
+			for i := s[0]; i <= s[1]; i++ {
+				if !yield(i) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Merge adds all of another set.
 func (r *Ranges) Merge(o Ranges) {
-	for _, s := range o.spans {
-		for i := s[0]; i <= s[1]; i++ {
-			r.Add(i)
+	all := slices.Concat(r.spans, o.spans)
+	slices.SortFunc(all, func(a, b [2]int) int { return cmp.Compare(a[0], b[0]) })
+	var out [][2]int
+	for _, s := range all {
+		if n := len(out); n > 0 && s[0] <= out[n-1][1]+1 {
+			out[n-1][1] = max(out[n-1][1], s[1])
+			continue
 		}
+		out = append(out, s)
 	}
+	r.spans = out
 }
 
 // Len counts the numbers in the set; Spans counts its pieces.
--- a/job/mirror.go
+++ b/job/mirror.go
@@ -10,7 +10,8 @@
 type Live struct {
 	Record
 	Stamp    uint64
-	Finished Ranges
+	Merged   Ranges // finished, as the job's record has it
+	Finished Ranges // and what machines' records have beyond
 	Rank     int
 	Team     int // dense index of the team, -1 if the settings have none
 	Seen     time.Time
@@ -100,7 +101,8 @@
 	} else if stamp <= l.Stamp {
 		return nil
 	}
-	l.Record, l.Stamp, l.Finished = rec, stamp, done
+	l.Record, l.Stamp, l.Merged = rec, stamp, done
+	l.Finished.Merge(done) // what is done stays done
 	l.Rank = max(0, protocol.Rank(rec.Spec.Urgency))
 	l.Team = -1
 	if t, ok := m.teams[rec.Spec.Owner]; ok {
--- a/part/commit.go
+++ b/part/commit.go
@@ -17,27 +17,10 @@
 	drop  []*Placement
 }
 
-// JobWrite is a job's part of a commit: finished numbers, or the end.
-type JobWrite struct {
-	UID   string
-	Stamp uint64
-	Rec   job.Record
-	Ended *job.Ended
-}
-
-// Ops is how many changes it takes.
-func (w *JobWrite) Ops() int {
-	if w.Ended != nil {
-		return 2
-	}
-	return 1
-}
-
 // Commit is one transaction: its guards are the view, and the stamps of all
-// machines and jobs that it writes.
+// machines that it writes.
 type Commit struct {
 	Machines []MachineWrite
-	Jobs     []JobWrite
 }
 
 // Dirty tells whether a machine has something to commit.
@@ -57,94 +40,61 @@
 	return false
 }
 
-// minOps is what a commit can always hold: a machine, and a job's end.
-const minOps = 4
-
 // NextCommit collects what is to be committed, or nil. Machines in first come
 // first. The commit must be settled before the next one is made.
 func (p *Part) NextCommit(first map[string]bool) *Commit {
-	most := p.cfg.TxnOps >> p.shrunk
+	most := max(p.cfg.TxnOps>>p.shrunk, 1)
 	var ids []string
 	for _, id := range p.ids {
 		if p.Dirty(id) || p.machines[id].gone {
 			ids = append(ids, id)
 		}
 	}
-	if len(ids) == 0 {
-		return nil
-	}
 	sort.SliceStable(ids, func(i, j int) bool { return first[ids[i]] && !first[ids[j]] })
 	c := &Commit{}
-	jobs := map[string]*JobWrite{}
-	done := map[string]job.Ranges{}
-	ops := 0
 	for _, id := range ids {
 		m := p.machines[id]
-		if ops+1 > max(most, minOps) {
+		if len(c.Machines) == most {
 			break
 		}
-		w := MachineWrite{ID: id, Stamp: m.stamp}
-		base := ops + 1
+		w := MachineWrite{ID: id, Stamp: m.stamp, add: slices.Clone(m.adding)} // settling changes the original
+		done := false
 		for _, pl := range m.placed {
-			if !pl.gone {
-				continue
-			}
-			l := p.jobs.Get(pl.Task.Job)
-			if pl.done && l != nil && !l.Finished.Has(pl.Task.Index) {
-				r, known := done[l.Spec.UID]
-				if !known {
-					r = l.Finished
-				}
-				was := 0
-				if jw := jobs[l.Spec.UID]; jw != nil {
-					was = jw.Ops()
-				}
-				r.Add(pl.Task.Index)
-				if r.Spans()*14+1500 > p.cfg.ValueBytes && len(r.String())+1500 > p.cfg.ValueBytes {
-					// The record would not fit: the result is kept by the
-					// worker, so the task is run again later.
-					w.drop = append(w.drop, pl)
-					continue
-				}
-				jw := &JobWrite{UID: l.Spec.UID, Stamp: l.Stamp, Rec: l.Record}
-				if r.Len() >= l.Spec.Pieces {
-					jw.Ended = &job.Ended{Status: job.Done, Done: l.Spec.Pieces}
-				}
-				if base-was+jw.Ops() > max(most, minOps) {
-					continue // with the next commit
-				}
-				base += jw.Ops() - was
-				jw.Rec.Done = r.String()
-				jobs[l.Spec.UID], done[l.Spec.UID] = jw, r
+			if pl.gone {
+				w.drop = append(w.drop, pl)
+				done = done || pl.done
 			}
-			w.drop = append(w.drop, pl)
 		}
-		w.add = slices.Clone(m.adding) // settling changes the original
-		if len(w.drop) == 0 && len(w.add) == 0 && !(m.gone && len(m.placed) == 0) {
-			continue
-		}
-		if m.gone && len(w.drop) == len(m.placed) {
-			if m.stamp == 0 && len(w.drop) == 0 {
+		p.prune(m)
+		switch {
+		case m.gone && len(w.drop) == len(m.placed) && len(m.unmerged) == 0 && !done:
+			if m.stamp == 0 {
 				p.forget(m)
 				continue
 			}
-		} else {
+		case len(w.drop)+len(w.add) == 0:
+			continue
+		default:
 			w.Rec = p.record(m, w.drop, w.add)
 		}
-		ops = base
 		m.inflight = true
 		c.Machines = append(c.Machines, w)
 	}
-	for _, jw := range jobs {
-		c.Jobs = append(c.Jobs, *jw)
-	}
-	sort.Slice(c.Jobs, func(i, j int) bool { return c.Jobs[i].UID < c.Jobs[j].UID })
 	if len(c.Machines) == 0 {
 		return nil
 	}
 	return c
 }
 
+// prune drops finished tasks that stand in their job's record by now, or whose
+// job is over.
+func (p *Part) prune(m *Machine) {
+	m.unmerged = slices.DeleteFunc(m.unmerged, func(e Ended) bool {
+		l := p.jobs.Get(e.Task.Job)
+		return l == nil || l.Merged.Has(e.Task.Index)
+	})
+}
+
 func (p *Part) record(m *Machine, drop, add []*Placement) *Record {
 	r := &Record{Flavor: m.Flavor, Zone: m.Zone, Spot: m.Spot, Images: m.images}
 	all := slices.Clone(add)
@@ -154,6 +104,25 @@
 		}
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].Task.Less(all[j].Task) })
+	done := map[string]*job.Ranges{}
+	finished := func(t job.Task) {
+		if done[t.Job] == nil {
+			done[t.Job] = &job.Ranges{}
+		}
+		done[t.Job].Add(t.Index)
+	}
+	for _, e := range m.unmerged {
+		finished(e.Task)
+	}
+	for _, pl := range drop {
+		if pl.done {
+			finished(pl.Task)
+		}
+	}
+	for uid, d := range done {
+		r.Done = append(r.Done, RecDone{uid, d.String()})
+	}
+	sort.Slice(r.Done, func(i, j int) bool { return r.Done[i].UID < r.Done[j].UID })
 	for _, pl := range all {
 		if n := len(r.Jobs); n == 0 || r.Jobs[n-1].UID != pl.Task.Job {
 			r.Jobs = append(r.Jobs, RecJob{UID: pl.Task.Job, Team: pl.Team, Need: pl.Need, Image: pl.Image})
@@ -167,13 +136,6 @@
 // Committed settles a commit that passed at an epoch.
 func (p *Part) Committed(c *Commit, epoch uint64, now time.Time) {
 	p.shrunk = max(p.shrunk-1, 0)
-	for _, jw := range c.Jobs {
-		if jw.Ended != nil {
-			p.jobs.Drop(jw.UID, now)
-		} else {
-			_ = p.jobs.Set(jw.UID, jw.Rec, epoch, now)
-		}
-	}
 	for _, w := range c.Machines {
 		m := p.machines[w.ID]
 		if m == nil {
@@ -207,12 +169,12 @@
 	}
 	if pl.done {
 		p.Counts.Done++
-		p.ended = append(p.ended, Ended{Task: pl.Task, At: now, RanS: pl.ran})
+		m.unmerged = append(m.unmerged, Ended{Task: pl.Task, RanS: pl.ran})
 	}
 }
 
-// Conflicted makes the next commits smaller: a failed one costs all its changes,
-// and the fewer jobs it holds the less often another owner was faster.
+// Conflicted makes the next commits smaller: they find room in a limit that
+// larger ones do not.
 func (p *Part) Conflicted() { p.shrunk = min(p.shrunk+1, 2) }
 
 // Reread settles a commit whose guards failed with what the store shows now.
--- a/part/digest.go
+++ b/part/digest.go
@@ -45,7 +45,7 @@
 	Tasks []HeldTask `msgpack:"k"`
 }
 
-// DoneTask was recorded as done a short while ago.
+// DoneTask is done, and not yet in its job's record.
 type DoneTask struct {
 	Task job.Task `msgpack:"t"`
 	RanS float64  `msgpack:"r"` // 0: not known
@@ -96,6 +96,10 @@
 		} else {
 			s.QuietS = now.Sub(p.seen).Seconds()
 		}
+		p.prune(m)
+		for _, e := range m.unmerged {
+			d.Done = append(d.Done, DoneTask(e))
+		}
 		for _, e := range m.queue {
 			s.Room = s.Room.Minus(e.need)
 			team := ""
@@ -122,9 +126,6 @@
 		d.Held = append(d.Held, *j)
 	}
 	sort.Slice(d.Held, func(i, j int) bool { return d.Held[i].UID < d.Held[j].UID })
-	for _, e := range p.ended {
-		d.Done = append(d.Done, DoneTask{e.Task, e.RanS})
-	}
 	for id := range p.gone {
 		d.Gone = append(d.Gone, id)
 	}
--- a/part/part.go
+++ b/part/part.go
@@ -68,6 +68,7 @@
 	adding    []*Placement
 	queue     []entry
 	images    []string
+	unmerged  []Ended
 	unknown   map[job.Task]protocol.Piece // reported, but not placed
 	shift     uint64
 	tick      uint64
@@ -140,10 +141,10 @@
 	To   string
 }
 
-// Ended is a task that was recorded as done a short while ago.
+// Ended is a task that is done and stands so in its machine's record, but not yet
+// in its job's.
 type Ended struct {
 	Task job.Task
-	At   time.Time
 	RanS float64
 }
 
@@ -168,6 +169,14 @@
 	Spot   bool     `cbor:"s"`
 	Images []string `cbor:"i,omitempty"`
 	Jobs   []RecJob `cbor:"j,omitempty"`
+	// Done holds tasks that completed here, until their jobs' records have them.
+	Done []RecDone `cbor:"d,omitempty"`
+}
+
+// RecDone is one job's finished tasks in a record.
+type RecDone struct {
+	UID    string `cbor:"u"`
+	Ranges string `cbor:"r"`
 }
 
 // RecJob is one job's placements in a record.
@@ -206,6 +215,16 @@
 		m.placed[pl.Task] = pl
 		m.shift = max(m.shift, pl.Session)
 	}
+	for _, d := range rec.Done {
+		r, err := job.ParseRanges(d.Ranges)
+		if err != nil {
+			continue
+		}
+		for i := range r.All() {
+			m.unmerged = append(m.unmerged, Ended{Task: job.Task{Job: d.UID, Index: i}})
+		}
+	}
+	p.prune(m)
 }
 
 func (p *Part) machine(id, flavor, zone string, spot bool) *Machine {
@@ -513,7 +532,6 @@
 			p.admit(now, p.machines[id])
 		}
 	}
-	p.ended = slices.DeleteFunc(p.ended, func(e Ended) bool { return now.Sub(e.At) > 20*time.Second })
 	for id, at := range p.gone {
 		if now.Sub(at) > 10*time.Minute {
 			delete(p.gone, id)
--- a/policy/default.star
+++ b/policy/default.star
@@ -9,6 +9,7 @@
 grant_part = 0.3        # a node's grant lives this part of the workers' lease
 authority_part = 0.6    # an owner's authority, as a part of that lease
 silent_part = 0.75      # a machine silent for this part of it is returned
+merge_s = 1.5           # finished tasks enter an unfinished job's record this often
 stale_s = 6.0           # no start on knowledge of the jobs older than this
 
 aging_s = 600.0         # waiting this long lifts work by one urgency
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,6 +26,7 @@
 	GrantPart     float64 `star:"grant_part" min:"0.05" max:"0.9"`
 	AuthorityPart float64 `star:"authority_part" min:"0.1" max:"0.95"`
 	SilentPart    float64 `star:"silent_part" min:"0.2" max:"100"`
+	MergeS        float64 `star:"merge_s" min:"0" max:"2"`
 	StaleS        float64 `star:"stale_s" min:"3" max:"10"`
 	AgingS        float64 `star:"aging_s" min:"1" max:"1e6"`
 	FaultPauseS   float64 `star:"fault_pause_s" min:"0.1" max:"60"`
