Stop work to make room for urgent work and guarantees, where it is worth it

Tasks of 20 to 40 s on 200 CPUs free several CPUs a second by themselves, which urgent work gets first, so stopping others only loses their work. Kept: stop only when what falls free by itself within 20 s is not enough, and only what loses under 5 s.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -280,7 +280,8 @@
 		c.div = divide.New(divide.Config{
 			Backlog: c.pol.Backlog, Aging: settings.Seconds(c.pol.AgingS), FaultPause: settings.Seconds(c.pol.FaultPauseS),
 			FaultMax: settings.Seconds(c.pol.FaultMaxS), SickAfter: c.pol.SickAfter, ValueBytes: c.store.ValueBytes(),
-			Targets: targets(f.Objectives),
+			Targets: targets(f.Objectives), Preempt: settings.Seconds(c.pol.PreemptS), Settle: settings.Seconds(c.pol.SettleS),
+			MaxLoss: settings.Seconds(c.pol.PreemptLossS),
 		}, teams, len(view.Members), c.caps, c.mirror)
 		for i, s := range shadows {
 			c.div.Inherit(i, s.Digest(now))
--- a/controller/loops.go
+++ b/controller/loops.go
@@ -130,7 +130,7 @@
 				tasks += w.Tasks
 			}
 			c.log.Info("division", "view", c.view.Number, "machines", len(c.div.Machines), "jobs", len(c.mirror.Jobs),
-				"held", len(c.div.Holding()), "waiting", tasks, "allotted", c.div.Allotted)
+				"held", len(c.div.Holding()), "waiting", tasks, "allotted", c.div.Allotted, "preempted", c.div.Stopped)
 		}
 		if !c.plan.Listed() || len(c.plan.Flavors) == 0 {
 			c.mu.Unlock()
--- a/divide/divide.go
+++ b/divide/divide.go
@@ -20,6 +20,9 @@
 	FaultMax   time.Duration
 	SickAfter  int // failures of different tasks that others complete
 	ValueBytes int
+	Preempt    time.Duration       // work that may stop other work waits this long first
+	Settle     time.Duration       // a start that ran this long stands
+	MaxLoss    time.Duration       // of run time, for each task stopped
 	Targets    map[string][]Target // by class of jobs, the nearest first
 }
 
@@ -92,13 +95,14 @@
 	merged  map[string]time.Time
 	counted map[job.Task]bool
 	moves   []part.Move
-	stops   map[int][]job.Task
+	stops   map[job.Task]time.Time
 	sick    map[string]map[job.Task]bool
 	Sick    map[string]bool
 
 	Machines map[string]*Room
 	order    []string
 	Allotted uint64
+	Stopped  uint64
 }
 
 // Room is a machine as the divider counts it.
@@ -113,8 +117,8 @@
 // New makes the divider of a view with as many owners as it has members.
 func New(cfg Config, teams []Team, owners int, caps part.Caps, jobs *job.Mirror) *Divider {
 	d := &Divider{cfg: cfg, Teams: teams, byName: map[string]int{}, jobs: jobs, owners: make([]owner, owners), caps: caps,
-		merged: map[string]time.Time{},
-		info:   map[string]*jobInfo{}, rates: map[string]*times{}, counted: map[job.Task]bool{}, sick: map[string]map[job.Task]bool{}, Sick: map[string]bool{}}
+		merged: map[string]time.Time{}, stops: map[job.Task]time.Time{},
+		info: map[string]*jobInfo{}, rates: map[string]*times{}, counted: map[job.Task]bool{}, sick: map[string]map[job.Task]bool{}, Sick: map[string]bool{}}
 	for i, t := range teams {
 		d.byName[t.Name] = i
 	}
@@ -333,8 +337,9 @@
 	Team    int
 	Tasks   int // that wait
 	Age     time.Duration
-	Rank    int // the urgency's place, after aging
-	Grade   int // 0 in time for its first target, 1 for a later one, 2 for none
+	Rank    int  // the urgency's place, after aging
+	Grade   int  // 0 in time for its first target, 1 for a later one, 2 for none
+	Lost    bool // no room however large could still make it be in time
 	target  time.Time
 	work    float64 // CPU seconds that wait
 	next    int     // where to look for the next waiting task
@@ -454,6 +459,7 @@
 		var off []*Wait
 		for _, w := range todo {
 			ts := d.targets(w, now)
+			w.Lost = len(ts) == 0 && (len(d.cfg.Targets[w.Job.Spec.Queue]) > 0 || w.Job.Spec.DueS > 0)
 			if len(ts) <= pass {
 				w.Grade, w.target = late, time.UnixMilli(w.Job.At)
 				off = append(off, w)
@@ -535,6 +541,9 @@
 			d.serve(w, borrow)
 		}
 	}
+	if d.cfg.Preempt > 0 {
+		d.preempt(waits, now)
+	}
 }
 
 // pick takes the most pressing job; among equals the team that uses the least
@@ -736,13 +745,153 @@
 // Within tells whether a team's limit has room for one more task of a job.
 func (d *Divider) Within(l *job.Live) bool { return d.within(l, false) }
 
-// Stops lists the tasks of an owner that are to make room for others.
+// Stops lists the tasks of an owner that are to make room for others, until it
+// shows that it stops them.
 func (d *Divider) Stops(o int) []job.Task {
-	return d.stops[o]
+	var out []job.Task
+	for t := range d.stops {
+		if h, held := d.held[t]; held && h.Owner == o && !h.Task.Stop {
+			out = append(out, t)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Less(out[j]) })
+	return out
 }
 
-// Job finds a live job.
-func (d *Divider) Job(uid string) *job.Live { return d.jobs.Get(uid) }
+// preempt stops work to make room where the protocol allows it: for work of a
+// higher urgency, and to give a team its guarantee, work that another team runs
+// beyond its own. The cheapest loss goes first: what saves its progress, then
+// what ran the least.
+func (d *Divider) preempt(waits []*Wait, now time.Time) {
+	for t := range d.stops {
+		if _, held := d.held[t]; !held {
+			delete(d.stops, t)
+		}
+	}
+	over := make([]float64, len(d.Teams)) // CPUs beyond the guarantee
+	for i := range d.Teams {
+		over[i] = d.Teams[i].used.CPUs - d.Teams[i].Guarantee.CPUs
+	}
+	byMachine := map[string][]job.Task{}
+	coming := 0.0 // room that is being made already
+	for t, h := range d.held {
+		if _, stopping := d.stops[t]; stopping || h.Task.Stop {
+			coming += h.Need.CPUs
+			continue
+		}
+		if h.Task.Running {
+			byMachine[h.Machine] = append(byMachine[h.Machine], t)
+		}
+	}
+	relief := 0.0 // CPUs that fall free by themselves in a second
+	for t, h := range d.held {
+		if l := d.jobs.Get(t.Job); l != nil && h.Task.Running {
+			relief += h.Need.CPUs / d.estimate(l)
+		}
+	}
+	asked := 0.0
+	for _, w := range waits {
+		inside := d.within(w.Job, true)
+		asked += float64(w.Tasks) * w.Job.Spec.CPUs
+		if asked <= relief*d.cfg.Preempt.Seconds() {
+			continue // served first, it has its room sooner without
+		}
+		if w.Tasks <= 0 || w.Lost || now.Sub(w.Job.Seen) < d.cfg.Preempt || !d.within(w.Job, false) ||
+			w.Job.Rank >= ordinary && !inside {
+			continue
+		}
+		need := w.Job.Need()
+		for n := 0; n < w.Tasks && n < maxStops; n++ {
+			if coming >= need.CPUs {
+				coming -= need.CPUs
+				continue
+			}
+			tasks := d.victims(w, need, inside, over, byMachine)
+			if tasks == nil {
+				break
+			}
+			for _, t := range tasks {
+				h := d.held[t]
+				d.stops[t] = now
+				if i, ok := d.byName[h.Team]; ok {
+					over[i] -= h.Need.CPUs
+				}
+				list := byMachine[h.Machine]
+				for i := range list {
+					if list[i] == t {
+						byMachine[h.Machine] = append(list[:i:i], list[i+1:]...)
+						break
+					}
+				}
+				d.Stopped++
+			}
+		}
+	}
+}
+
+// maxStops is the most tasks of one job for which room is made at a time.
+const maxStops = 8
+
+// victims finds the cheapest tasks of one machine whose room is enough.
+func (d *Divider) victims(w *Wait, need job.Need, inside bool, over []float64, byMachine map[string][]job.Task) []job.Task {
+	var best []job.Task
+	bestCost := 0.0
+	for _, id := range d.order {
+		m := d.Machines[id]
+		if !m.Usable || m.Leaving || m.Warned || d.Sick[id] || !need.Fits(m.Cap) ||
+			!job.Allows(&w.Job.Spec, m.Flavor, m.Zone, m.Spot) {
+			continue
+		}
+		type victim struct {
+			t    job.Task
+			cost float64
+		}
+		var vs []victim
+		for _, t := range byMachine[id] {
+			h, l := d.held[t], d.jobs.Get(t.Job)
+			if l == nil {
+				continue
+			}
+			beyond := inside && l.Team != w.Team && l.Team >= 0 && over[l.Team] >= h.Need.CPUs
+			if l.Rank <= w.Job.Rank && !beyond {
+				continue
+			}
+			loss := h.Task.ForS
+			if l.Spec.SnapshotS > 0 {
+				loss = l.Spec.StashS
+			}
+			if loss > d.cfg.MaxLoss.Seconds() {
+				continue // it will end by itself before that is made good
+			}
+			cost := loss * h.Need.CPUs
+			if h.Task.ForS < d.cfg.Settle.Seconds() {
+				cost += d.cfg.Settle.Seconds() * h.Need.CPUs // its start would not count
+			}
+			vs = append(vs, victim{t, cost})
+		}
+		sort.Slice(vs, func(i, j int) bool {
+			if vs[i].cost != vs[j].cost {
+				return vs[i].cost < vs[j].cost
+			}
+			return vs[i].t.Less(vs[j].t)
+		})
+		room, cost := m.Free, 0.0
+		room.CPUs, room.Mem, room.Acc = max(room.CPUs, 0), max(room.Mem, 0), max(room.Acc, 0)
+		var tasks []job.Task
+		for _, v := range vs {
+			if need.Fits(room) {
+				break
+			}
+			room = room.Plus(d.held[v.t].Need)
+			cost += v.cost
+			tasks = append(tasks, v.t)
+		}
+		if len(tasks) > 0 && need.Fits(room) && (best == nil || cost < bestCost) {
+			best, bestCost = tasks, cost
+		}
+	}
+	return best
+}
 
 // Saves tells whether a job's tasks keep their progress when they are stopped.
 func (d *Divider) Saves(uid string) bool {
@@ -824,3 +973,6 @@
 // specRoom is what a job's record takes beside its ranges, at the most that is
 // accepted.
 const specRoom = 1500
+
+// Job finds a live job.
+func (d *Divider) Job(uid string) *job.Live { return d.jobs.Get(uid) }
--- a/divide/divide_test.go
+++ b/divide/divide_test.go
@@ -273,3 +273,52 @@
 		}
 	}
 }
+
+// Preemption: urgent work stops the cheapest lower work; a team within its
+// guarantee stops what another runs beyond its own; nothing else is stopped.
+func TestPreemption(t *testing.T) {
+	cfg := testConfig
+	cfg.Backlog, cfg.Preempt, cfg.Settle, cfg.MaxLoss = 0, 4*time.Second, 30*time.Second, 42*time.Second
+	for _, c := range []struct {
+		name     string
+		urgency  string
+		team     string
+		used     map[string][]string // urgency of held jobs by team, one CPU each
+		expected string
+	}{
+		{"urgent stops what saves", "urgent", "blue", map[string][]string{"blue": {"normal", "best_effort", "normal", "normal"}}, "wk-blue1"},
+		{"equal stays", "urgent", "blue", map[string][]string{"blue": {"urgent", "urgent", "urgent", "urgent"}}, ""},
+		{"guarantee stops borrowed", "best_effort", "blue", map[string][]string{"red": {"urgent", "urgent", "urgent", "urgent"}}, "wk-red0"},
+		{"guarantee leaves guarantee", "best_effort", "red", map[string][]string{"blue": {"urgent", "urgent", "urgent", "urgent"}}, ""},
+	} {
+		specs := []protocol.Spec{{UID: "wk-new", Owner: c.team, CPUs: 1, Pieces: 1, Urgency: c.urgency}}
+		g := part.Digest{N: 1, Machines: []part.State{machine("a")}}
+		g.Machines[0].Room.CPUs = 0
+		for team, urgencies := range c.used {
+			for i, u := range urgencies {
+				s := protocol.Spec{UID: fmt.Sprintf("wk-%s%d", team, i), Owner: team, CPUs: 1, Pieces: 1, Urgency: u, ExpectedS: 600}
+				if u == "best_effort" {
+					s.SnapshotS, s.StashS = 30, 3
+				}
+				specs = append(specs, s)
+				g.Held = append(g.Held, part.HeldJob{UID: s.UID, Team: team, Need: job.Need{CPUs: 1},
+					Tasks: []part.HeldTask{{Machine: "a", Placed: true, Running: true, ForS: float64(40 + i)}}})
+			}
+		}
+		d := New(cfg, teams(), 1, caps, mirror(specs...))
+		d.Digest(0, g, t0)
+		d.Allot(t0.Add(3 * time.Second))
+		if s := d.Stops(0); len(s) != 0 {
+			t.Errorf("%s: stopped at once: %v", c.name, s)
+		}
+		d.Allot(t0.Add(5 * time.Second))
+		d.Allot(t0.Add(6 * time.Second))
+		got := ""
+		for _, s := range d.Stops(0) {
+			got += s.Job
+		}
+		if got != c.expected {
+			t.Errorf("%s: stops %q, want %q", c.name, got, c.expected)
+		}
+	}
+}
--- a/policy/default.star
+++ b/policy/default.star
@@ -13,6 +13,8 @@
 stale_s = 6.0           # no start on knowledge of the jobs older than this
 
 aging_s = 600.0         # waiting this long lifts work by one urgency
+preempt_s = 20.0        # work that cannot have room within this may stop other work; 0: nothing is stopped
+preempt_loss_s = 5.0    # and no task is stopped that would lose more of its run than this
 fault_pause_s = 2.0     # a job that fails everywhere pauses, twice as long each time
 fault_max_s = 60.0
 sick_after = 3          # tasks failing on a machine that others complete
