--- a/controller/controller.go
+++ b/controller/controller.go
@@ -564,6 +564,8 @@
 			for _, x := range ms {
 				if x.Ended != nil {
 					c.remember(x.UID, *x.Ended)
+					c.log.Debug("job is done", "job", x.UID, "class", x.Rec.Spec.Queue, "tasks", x.Ended.Done,
+						"expected_s", x.Rec.Spec.ExpectedS, "took_s", float64(now.UnixMilli()-x.Rec.At)/1000)
 					continue
 				}
 				c.mu.Lock()
