--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -222,6 +222,16 @@
 		}
 		return a.free.CPUs < b.free.CPUs
 	})
+	// Tasks that queue on full machines want room as well. A team at its limit
+	// once held a part of it in queues, and nothing was rented for those.
+	queued := map[string]int{}
+	queuedCPUs := map[string]float64{}
+	for t, h := range d.Holding() {
+		if !h.Task.Placed {
+			queued[t.Job]++
+			queuedCPUs[h.Team] += h.Need.CPUs
+		}
+	}
 	want := map[Offer]int{}
 	head := map[int]job.Need{}
 	for _, w := range waits {
@@ -232,8 +242,9 @@
 		if !known {
 			left = t.Limit.Minus(t.Used())
 			left.Mem = math.Inf(1)
+			left.CPUs += queuedCPUs[t.Name]
 		}
-		n := min(w.Tasks, need.Slots(left))
+		n := min(w.Tasks+queued[l.Spec.UID], need.Slots(left))
 		est := max(l.Spec.ExpectedS, 5)
 		share := min(1, est/p.cfg.Horizon.Seconds())
 		slots := int(math.Ceil(float64(n) * share))
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -146,3 +146,19 @@
 		}
 	}
 }
+
+// A team at its limit with a part of it queued on full machines wants machines
+// for that part.
+func TestRentsForWhatQueues(t *testing.T) {
+	full := part.State{ID: "a", Flavor: "quad", Zone: "z", Spot: true, Usable: true, Heard: true, Tasks: 4, Queue: 12, Room: job.Need{CPUs: -12, Mem: 32}}
+	p, d := setup(t, "normal", 100, full)
+	held := part.HeldJob{UID: "wk-1", Team: "red", Need: job.Need{CPUs: 1}}
+	for i := range 16 {
+		held.Tasks = append(held.Tasks, part.HeldTask{Index: i, Machine: "a", Placed: i < 4, Running: i < 4})
+	}
+	d.Digest(0, part.Digest{N: 2, Machines: []part.State{full}, Held: []part.HeldJob{held}}, t0)
+	d.Count(t0)
+	if n, _, _ := plan(p, d, t0); n != 3 {
+		t.Errorf("rents %d, want 3 for the 12 that queue", n)
+	}
+}
