--- a/controller/day_test.go
+++ b/controller/day_test.go
@@ -496,3 +496,49 @@
 		d.finish(map[string]int{"wk-1": 60, "wk-2": 2}, 5*time.Minute)
 	})
 }
+
+// A state outage of several leases ends no task while the nodes see each other:
+// each attests that it knows of no later view.
+func TestLongStateOutageKeepsTasks(t *testing.T) {
+	play(t, func(t *testing.T, d *day) {
+		d.cloud.RunFor = func(string) time.Duration { return 80 * time.Second }
+		d.submit(spec("wk-1", "blue", 10))
+		time.Sleep(25 * time.Second)
+		if n := d.cloud.Active("wk-1"); n != 10 {
+			t.Fatalf("%d tasks run", n)
+		}
+		d.store.Outage(func(string) bool { return true })
+		time.Sleep(35 * time.Second)
+		if n := d.cloud.Active("wk-1"); n != 10 {
+			t.Errorf("%d of 10 tasks are left after an outage of 35 s", n)
+		}
+		d.store.Outage(nil)
+		starts := 0
+		d.cloud.Lock(func() { starts = d.cloud.Starts })
+		if starts != 10 {
+			t.Errorf("%d starts", starts)
+		}
+		d.finish(map[string]int{"wk-1": 10}, 3*time.Minute)
+	})
+}
+
+// With one node unreachable nobody can tell what it has seen, so authority ends
+// with its time and the leases with theirs.
+func TestStateOutageWithOneNodeAway(t *testing.T) {
+	play(t, func(t *testing.T, d *day) {
+		d.cloud.RunFor = func(string) time.Duration { return 80 * time.Second }
+		d.submit(spec("wk-1", "blue", 10))
+		time.Sleep(25 * time.Second)
+		d.net.Cut(func(a, b string) bool {
+			return a == "n2" && strings.HasPrefix(b, "n") || b == "n2" && strings.HasPrefix(a, "n")
+		})
+		d.store.Outage(func(string) bool { return true })
+		time.Sleep(30 * time.Second)
+		if n := d.cloud.Active("wk-1"); n != 0 {
+			t.Errorf("%d tasks still run, though their owners' authority has ended", n)
+		}
+		d.net.Cut(nil)
+		d.store.Outage(nil)
+		d.finish(map[string]int{"wk-1": 10}, 5*time.Minute)
+	})
+}
--- a/controller/loops.go
+++ b/controller/loops.go
@@ -307,19 +307,33 @@
 	}
 }
 
-// pingLoop learns how the others stand.
+// pingLoop learns how the others stand. When all of them answer that they have
+// seen no later view, this node keeps its authority although the state service
+// may be down: nobody else can have taken its machines.
 func (c *Controller) pingLoop(ctx context.Context) {
 	for sleep(ctx, time.Second) {
-		for name, cl := range c.peers {
-			go func() {
-				a, err := cl.Ping(ctx, c.standing())
-				if err == nil {
-					c.heardOf(a)
-				} else {
-					c.log.Debug("ping failed", "peer", name, "err", err)
-				}
-			}()
-		}
+		go func() {
+			asked, view := time.Now(), c.standing().View
+			answers := make(chan bool, len(c.peers))
+			for name, cl := range c.peers {
+				go func() {
+					a, err := cl.Ping(ctx, c.standing())
+					if err == nil {
+						c.heardOf(a)
+					} else {
+						c.log.Debug("ping failed", "peer", name, "err", err)
+					}
+					answers <- err == nil && a.Node == name && a.View <= view
+				}()
+			}
+			all := len(c.peers) > 0
+			for range c.peers {
+				all = <-answers && all
+			}
+			if all && view > 0 {
+				c.roster.Attested(view, asked)
+			}
+		}()
 	}
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -163,6 +163,17 @@
 	return r.confirmed
 }
 
+// Attested takes that every other node, asked at a time or later, had seen no view
+// beyond this one. That is worth as much as a confirmation by the state service:
+// what a later view's owners wait for (invariant 3) counts from when they see it.
+func (r *Roster) Attested(number uint64, asked time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if number == r.view.Number && asked.After(r.confirmed) {
+		r.confirmed = asked
+	}
+}
+
 // Higher takes a view number that a peer knows of. An older view has no
 // authority from then on, long before its time runs out.
 func (r *Roster) Higher(number uint64) {
