Refuse users at once in an outage; look for room in the limits for 0.3 s only

Cause: a submission in a state outage was tried for 1.2 s before its 503, which the users' loop rules out as holding it back.

--- a/controller/front.go
+++ b/controller/front.go
@@ -18,21 +18,17 @@
 
 func taskOf(a divide.Allotment) job.Task { return job.Task{Job: a.Job, Index: a.Index} }
 
-// userTime bounds what a user waits for: after that the answer is 503.
-const userTime = 1200 * time.Millisecond
+// userTime is how long a user's call may look for room in the state service's
+// limits. What cannot be done then, or in an outage, is refused at once.
+const userTime = 300 * time.Millisecond
 
 var busy = front.Problem(http.StatusServiceUnavailable, "try again")
 
-// insist repeats a call that was surely not executed, for a short while.
+// insist repeats a call that found no room in the limits, for a short while.
 func insist(ctx context.Context, f func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(ctx, userTime)
-	defer cancel()
-	for {
+	for end := time.Now().Add(userTime); ; {
 		err := f(ctx)
-		if !isRefused(err) {
-			return err
-		}
-		if !sleep(ctx, 60*time.Millisecond) {
+		if !errors.Is(err, state.ErrBusy) || time.Now().After(end) || !sleep(ctx, 50*time.Millisecond) {
 			return err
 		}
 	}
@@ -200,7 +196,7 @@
 
 // Cancel ends a job, unless it is done.
 func (c *Controller) Cancel(ctx context.Context, uid string) front.Answer {
-	ctx, cancel := context.WithTimeout(ctx, 3*userTime)
+	ctx, cancel := context.WithTimeout(ctx, 2*state.Timeout)
 	defer cancel()
 	for range 6 {
 		live, stamp, final, err := c.lookup(ctx, uid)
--- a/state/state.go
+++ b/state/state.go
@@ -21,6 +21,8 @@
 var (
 	// ErrRefused says that the request was not executed (429 or 503).
 	ErrRefused = errors.New("state service refused")
+	// ErrBusy is an ErrRefused for want of room in the limits (429): soon over.
+	ErrBusy = fmt.Errorf("%w for now", ErrRefused)
 	// ErrNoPermit says that the grant is over.
 	ErrNoPermit = errors.New("no such grant")
 	// ErrGone says that a watch is too old.
@@ -135,9 +137,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch code {
-	case 429, 503:
-		c.down = c.down || code == 503
-		return code, fmt.Errorf("%w: %d", ErrRefused, code)
+	case 429:
+		return code, ErrBusy
+	case 503:
+		c.down = true
+		return code, ErrRefused
 	case 200, 404, 409, 410, 400:
 		c.lastOK = time.Now()
 		if c.down {
--- /dev/null
+++ b/state/state_test.go
@@ -0,0 +1,116 @@
+package state
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"junipershelf/internal/standin"
+	"junipershelf/protocol"
+	"junipershelf/settings"
+)
+
+// serve answers every call with one status and body.
+func serve(t *testing.T, f func(ctx context.Context, c *Client, answer func(code int, body string, late time.Duration))) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		n := standin.NewNet()
+		l, err := n.Listen("mem", "state:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var code int
+		var body string
+		var late time.Duration
+		srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, b := code, body
+			time.Sleep(late)
+			w.WriteHeader(c)
+			w.Write([]byte(b))
+		})}
+		go srv.Serve(l)
+		f(ctx, New(n.Dialer("a"), "state:1", settings.StateLimits{RPS: 100, WriteRPS: 20, ValueKB: 8, TxnOps: 16}),
+			func(c int, b string, d time.Duration) { code, body, late = c, b, d })
+		stop()
+		srv.Close()
+		l.Close()
+		n.Crash("a")
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// What was surely not executed, what failed its guards, and what nobody knows are
+// told apart: all else rests on that.
+func TestOutcomes(t *testing.T) {
+	good, err := protocol.Marshal(protocol.MultiReply{Epoch: 7})
+	if err != nil {
+		t.Fatal(err)
+	}
+	failed, err := protocol.Marshal(protocol.MultiReply{Failed: []string{"k"}, Epoch: 7})
+	if err != nil {
+		t.Fatal(err)
+	}
+	serve(t, func(ctx context.Context, c *Client, answer func(int, string, time.Duration)) {
+		for _, x := range []struct {
+			name string
+			code int
+			body string
+			late time.Duration
+			want error
+		}{
+			{"passed", 200, string(good), 0, nil},
+			{"busy", 429, "", 0, ErrBusy},
+			{"busy is refused", 429, "", 0, ErrRefused},
+			{"outage", 503, "", 0, ErrRefused},
+			{"no grant", 400, "", 0, ErrNoPermit},
+			{"malformed", 200, "nonsense", 0, ErrUnknown},
+			{"not a map", 200, "\x80", 0, ErrUnknown},
+			{"empty", 200, "", 0, ErrUnknown},
+			{"strange status", 500, "", 0, ErrUnknown},
+			{"late", 200, string(good), 3 * time.Second, ErrUnknown},
+		} {
+			answer(x.code, x.body, x.late)
+			if _, err := c.Multi(ctx, User, protocol.Multi{}); !errors.Is(err, x.want) {
+				t.Errorf("%s: %v, want %v", x.name, err, x.want)
+			}
+			time.Sleep(4 * time.Second)
+		}
+		answer(409, string(failed), 0)
+		var conflict *Conflict
+		if _, err := c.Multi(ctx, User, protocol.Multi{}); !errors.As(err, &conflict) || strings.Join(conflict.Failed, " ") != "k" {
+			t.Errorf("conflict: %v", err)
+		}
+	})
+}
+
+// Refused calls cost nothing: after an outage the next commits go out at once.
+func TestRefusedCallsCostNothing(t *testing.T) {
+	good, err := protocol.Marshal(protocol.MultiReply{Epoch: 7})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := protocol.Multi{Then: make([]protocol.Change, 16)}
+	serve(t, func(ctx context.Context, c *Client, answer func(int, string, time.Duration)) {
+		answer(503, "", 0)
+		for range 40 {
+			if _, err := c.Multi(ctx, User, m); !errors.Is(err, ErrRefused) {
+				t.Fatal(err)
+			}
+		}
+		answer(200, string(good), 0)
+		start := time.Now()
+		for range 2 {
+			if _, err := c.Multi(ctx, Part, m); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if took := time.Since(start); took > 2*time.Second {
+			t.Errorf("two commits took %v", took)
+		}
+	})
+}
