--- a/controller/front.go
+++ b/controller/front.go
@@ -160,8 +160,12 @@
 		return 422, "unknown team"
 	}
 	t := c.set.Facts.Teams[team]
-	if s.CPUs > t.CPUsMax || s.Accelerators > t.GPUsMax {
-		return 422, "a task needs more than the team's limit"
+	at := 1.0 // what runs at the same time: of an array one task at least
+	if s.Shape != protocol.Array {
+		at = float64(s.Pieces)
+	}
+	if s.CPUs*at > t.CPUsMax+1e-6 || s.Accelerators*at > t.GPUsMax+1e-6 {
+		return 422, "the job needs more than the team's limit"
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -67,6 +67,13 @@
 	DueS         float64  `cbor:"due_s"`
 }
 
+// The shapes of jobs: independent tasks that complete, and tasks that run until
+// the job is cancelled (docs/questions.md).
+const (
+	Array  = "array"
+	Daemon = "daemon"
+)
+
 // Urgencies, the most pressing first.
 var Urgencies = []string{"critical", "urgent", "normal", "best_effort"}
 
@@ -138,7 +145,9 @@
 	if !ValidUID(s.UID) {
 		return nil, errors.New("uid: not in the form of a job id")
 	}
-	if s.Shape != "array" {
+	switch s.Shape {
+	case Array, Daemon:
+	default:
 		return nil, errors.New("shape: unknown")
 	}
 	if Rank(s.Urgency) < 0 {
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,18 +25,25 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		var mu sync.Mutex
 		var code int
 		var body string
 		var late time.Duration
 		srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			c, b := code, body
-			time.Sleep(late)
+			mu.Lock()
+			c, b, d := code, body, late
+			mu.Unlock()
+			time.Sleep(d)
 			w.WriteHeader(c)
 			w.Write([]byte(b))
 		})}
 		go srv.Serve(l)
 		f(ctx, New(n.Dialer("a"), "state:1", settings.StateLimits{RPS: 100, WriteRPS: 20, ValueKB: 8, TxnOps: 16}),
-			func(c int, b string, d time.Duration) { code, body, late = c, b, d })
+			func(c int, b string, d time.Duration) {
+				mu.Lock()
+				defer mu.Unlock()
+				code, body, late = c, b, d
+			})
 		stop()
 		srv.Close()
 		l.Close()
