Take gangs: allotted whole, with one try for all

Ruled out: starting all tasks with one answer but tries of their own; the workers never let them run. With one try for all they run together.

--- a/controller/loops.go
+++ b/controller/loops.go
@@ -56,7 +56,7 @@
 			p.Delivered(&d)
 			p.Fleet(a.Fleet)
 			for _, al := range a.Allot {
-				p.Allot(now, al.Seq, taskOf(al), al.Machine)
+				p.Allot(now, al.Seq, taskOf(al), al.Machine, al.Group)
 			}
 			p.Leave(a.Leave, false, now)
 			p.Leave(a.Drop, true, now)
--- a/divide/divide.go
+++ b/divide/divide.go
@@ -50,6 +50,7 @@
 	Job     string `msgpack:"j"`
 	Index   int    `msgpack:"n"`
 	Machine string `msgpack:"m"`
+	Group   uint64 `msgpack:"g,omitempty"` // tasks of a group that start together share it
 
 	need job.Need
 	team string
@@ -102,6 +103,7 @@
 	Machines map[string]*Room
 	order    []string
 	Allotted uint64
+	groups   uint64
 	Stopped  uint64
 }
 
@@ -538,7 +540,11 @@
 			if w == nil {
 				break
 			}
-			d.serve(w, borrow)
+			if w.Job.Spec.Shape == protocol.Group {
+				d.serveGroup(w, borrow)
+			} else {
+				d.serve(w, borrow)
+			}
 		}
 	}
 	if d.cfg.Preempt > 0 {
@@ -604,6 +610,56 @@
 	w.next = idx + 1
 }
 
+// serveGroup allots all tasks of a group, or none. They run only all together, so
+// each needs room now, none of an earlier try may be left, and all get one try.
+func (d *Divider) serveGroup(w *Wait, borrow bool) {
+	l := w.Job
+	w.blocked = true
+	need, n := l.Need(), l.Spec.Pieces-l.Finished.Len()
+	t := &d.Teams[w.Team]
+	lim := t.Guarantee
+	if borrow {
+		lim = t.Limit
+	}
+	if d.perJob[l.Spec.UID] > 0 || t.used.CPUs+need.CPUs*float64(n) > lim.CPUs+1e-6 || t.used.Acc+need.Acc*float64(n) > lim.Acc+1e-6 {
+		return
+	}
+	type seat struct {
+		idx int
+		m   *Room
+	}
+	var seats []seat
+	taken := map[*Room]job.Need{}
+	for i := range l.Spec.Pieces {
+		if l.Finished.Has(i) {
+			continue
+		}
+		m := d.choose(l, i)
+		if m == nil || !need.Fits(m.Free) {
+			seats = nil
+			break
+		}
+		seats = append(seats, seat{i, m})
+		taken[m] = taken[m].Plus(need)
+		m.Free = m.Free.Minus(need)
+		// Where the others of its kind are counts for the next one's zone.
+		d.held[job.Task{Job: l.Spec.UID, Index: i}] = Held{Owner: m.Owner, Machine: m.ID}
+	}
+	for m, n := range taken {
+		m.Free = m.Free.Plus(n)
+	}
+	for i := range l.Spec.Pieces {
+		delete(d.held, job.Task{Job: l.Spec.UID, Index: i})
+	}
+	d.groups++
+	for _, s := range seats {
+		d.give(l, s.idx, s.m)
+		w := &d.owners[s.m.Owner]
+		w.unacked[len(w.unacked)-1].Group = d.groups
+	}
+	w.Tasks -= len(seats)
+}
+
 func (d *Divider) nextTask(w *Wait) int {
 	l := w.Job
 	// Finished tasks are kept as ranges: holes far behind would grow the record
--- a/divide/divide_test.go
+++ b/divide/divide_test.go
@@ -322,3 +322,29 @@
 		}
 	}
 }
+
+// A group is allotted whole or not at all, not beside what is left of an earlier
+// try, and with one number for all.
+func TestGroupsStartWhole(t *testing.T) {
+	for _, c := range []struct {
+		pieces, expected int
+		held             bool
+	}{{6, 6, false}, {9, 0, false}, {6, 0, true}} {
+		m := mirror(protocol.Spec{UID: "wk-1", Owner: "blue", CPUs: 1, Pieces: c.pieces, Shape: protocol.Group})
+		d := New(testConfig, teams(), 1, caps, m)
+		g := part.Digest{N: 1, Machines: []part.State{machine("a"), machine("b")}}
+		if c.held {
+			g.Held = []part.HeldJob{{UID: "wk-1", Team: "blue", Need: job.Need{CPUs: 1}, Tasks: []part.HeldTask{{Index: 5, Machine: "a", Placed: true}}}}
+		}
+		d.Digest(0, g, t0)
+		d.Allot(t0)
+		if got := len(d.Unacked(0)); got != c.expected {
+			t.Errorf("%d tasks, some held %v: %d allotted, want %d", c.pieces, c.held, got, c.expected)
+		}
+		for _, a := range d.Unacked(0) {
+			if a.Group == 0 || a.Group != d.Unacked(0)[0].Group {
+				t.Errorf("numbers differ: %+v", d.Unacked(0))
+			}
+		}
+	}
+}
--- a/part/part.go
+++ b/part/part.go
@@ -55,6 +55,7 @@
 	task  job.Task
 	need  job.Need
 	since time.Time
+	group uint64
 }
 
 // Machine is one of the owner's machines.
@@ -441,7 +442,7 @@
 }
 
 // Allot takes tasks from the divider; seq rises with each, repeats are known.
-func (p *Part) Allot(now time.Time, seq uint64, t job.Task, machine string) {
+func (p *Part) Allot(now time.Time, seq uint64, t job.Task, machine string, group uint64) {
 	if seq <= p.ack {
 		return
 	}
@@ -451,7 +452,7 @@
 		!job.Allows(&l.Spec, m.Flavor, m.Zone, m.Spot) {
 		return // not held: the divider sees that it is waiting again
 	}
-	p.enqueue(m, entry{task: t, need: l.Need(), since: now})
+	p.enqueue(m, entry{task: t, need: l.Need(), since: now, group: group})
 	p.Counts.Queued++
 }
 
@@ -589,7 +590,11 @@
 			return
 		}
 		m.queue = m.queue[1:]
-		m.adding = append(m.adding, &Placement{Task: e.task, Try: p.newTry(), Session: m.shift,
+		try := p.newTry()
+		if e.group > 0 {
+			try = p.view<<28 | 63<<22 | e.group&(1<<22-1)
+		}
+		m.adding = append(m.adding, &Placement{Task: e.task, Try: try, Session: m.shift,
 			Need: e.need, Team: l.Spec.Owner, Image: l.Spec.Bundle, since: now})
 	}
 }
@@ -648,7 +653,7 @@
 	for _, n := range list {
 		b := &p.fleet[n]
 		if m := p.machines[b.ID]; m != nil {
-			if job.Allows(&l.Spec, m.Flavor, m.Zone, m.Spot) && !l.Spec.Together && !l.Spec.Scatter && m.takes(e.need) {
+			if l.Spec.Shape != protocol.Group && job.Allows(&l.Spec, m.Flavor, m.Zone, m.Spot) && !l.Spec.Together && !l.Spec.Scatter && m.takes(e.need) {
 				e.since = now
 				p.enqueue(m, e)
 				return true
--- a/part/part_test.go
+++ b/part/part_test.go
@@ -61,7 +61,7 @@
 	m := newMirror(t, one("wk-1", 2), one("wk-2", 9))
 	p := New(testConfig, 5, 0, t0, caps, m)
 	p.Report(at(1), beat("a", 1, 1, 5))
-	p.Allot(at(1), 1, job.Task{Job: "wk-1"}, "a")
+	p.Allot(at(1), 1, job.Task{Job: "wk-1"}, "a", 0)
 	p.Tick(at(1))
 	want(t, "before the commit", verbs(p.Orders(at(1), "a", 1, 1)), "")
 	c := p.NextCommit(nil)
@@ -117,7 +117,7 @@
 	if d := p.Digest(at(5)); len(d.Done) != 1 || d.Done[0].Task != (job.Task{Job: "wk-1"}) {
 		t.Errorf("the divider is told %v", d.Done)
 	}
-	p.Allot(at(6), 2, job.Task{Job: "wk-2"}, "a")
+	p.Allot(at(6), 2, job.Task{Job: "wk-2"}, "a", 0)
 	p.Tick(at(6))
 	c = p.NextCommit(nil)
 	if len(c.Machines[0].Rec.Done) != 1 {
@@ -129,7 +129,7 @@
 	if err := m.Set("wk-1", rec, 13, at(7)); err != nil {
 		t.Fatal(err)
 	}
-	p.Allot(at(8), 3, job.Task{Job: "wk-2", Index: 1}, "a")
+	p.Allot(at(8), 3, job.Task{Job: "wk-2", Index: 1}, "a", 0)
 	p.Tick(at(8))
 	if c = p.NextCommit(nil); len(c.Machines[0].Rec.Done) != 0 || len(p.Digest(at(8)).Done) != 0 {
 		t.Error("kept for ever")
@@ -204,7 +204,7 @@
 	m := newMirror(t, one("wk-1", 2))
 	p := New(testConfig, 5, 0, t0, caps, m)
 	p.Report(at(1), beat("a", 1, 1, 5))
-	p.Allot(at(1), 1, job.Task{Job: "wk-1"}, "a")
+	p.Allot(at(1), 1, job.Task{Job: "wk-1"}, "a", 0)
 	p.Tick(at(1))
 	c := p.NextCommit(nil)
 	p.Report(at(2), beat("a", 2, 2, 5))
@@ -235,7 +235,7 @@
 func TestCancelled(t *testing.T) {
 	p, m := placed(t)
 	tr := try(p, "a", job.Task{Job: "wk-1"})
-	p.Allot(at(1), 2, job.Task{Job: "wk-2", Index: 3}, "a")
+	p.Allot(at(1), 2, job.Task{Job: "wk-2", Index: 3}, "a", 0)
 	p.Tick(at(1))
 	p.Committed(p.NextCommit(nil), 11, at(1))
 	m.Drop("wk-1", at(1))
@@ -254,8 +254,8 @@
 		m := newMirror(t, one("wk-1", 2))
 		p := New(testConfig, 5, 0, t0, caps, m)
 		p.Report(at(1), beat("a", 1, 1, 5))
-		p.Allot(at(1), 1, job.Task{Job: "wk-1"}, "a")
-		p.Allot(at(1), 2, job.Task{Job: "wk-1", Index: 1}, "a")
+		p.Allot(at(1), 1, job.Task{Job: "wk-1"}, "a", 0)
+		p.Allot(at(1), 2, job.Task{Job: "wk-1", Index: 1}, "a", 0)
 		p.Tick(at(1))
 		c := p.NextCommit(nil)
 		if passed {
@@ -287,7 +287,7 @@
 	}
 	p.Fleet([]Buddy{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}, {ID: "e", Under: true, Room: job.Need{CPUs: 2, Mem: 32}}})
 	for i := range 11 {
-		p.Allot(at(1), uint64(i+1), job.Task{Job: "wk-1", Index: i}, "a")
+		p.Allot(at(1), uint64(i+1), job.Task{Job: "wk-1", Index: i}, "a", 0)
 	}
 	p.Tick(at(1))
 	// a starts 4; its first choice is b, which takes 4; three wait.
@@ -317,7 +317,7 @@
 	p.Report(at(1), beat("a", 1, 1, 5))
 	p.Fleet([]Buddy{{ID: "a"}, {ID: "b", Under: true, Room: job.Need{CPUs: 2, Mem: 32}}})
 	for i := range 8 {
-		p.Allot(at(1), uint64(i+1), job.Task{Job: "wk-1", Index: i}, "a")
+		p.Allot(at(1), uint64(i+1), job.Task{Job: "wk-1", Index: i}, "a", 0)
 	}
 	p.Tick(at(1))
 	d := p.Digest(at(1))
@@ -358,3 +358,21 @@
 		t.Error("a late report brought a returned machine back")
 	}
 }
+
+// The tasks of a group that start together carry one try, whoever owns them.
+func TestGroupSharesATry(t *testing.T) {
+	var tries []uint64
+	for index := range 2 {
+		p := New(testConfig, 5, index, t0, caps, newMirror(t, one("wk-1", 3)))
+		p.Report(at(1), beat("a", 1, 1, 5))
+		p.Allot(at(1), 1, job.Task{Job: "wk-1", Index: index}, "a", 7)
+		p.Allot(at(1), 2, job.Task{Job: "wk-1", Index: 2}, "a", 0)
+		p.Tick(at(1))
+		for _, pl := range p.machines["a"].adding {
+			tries = append(tries, pl.Try)
+		}
+	}
+	if tries[0] != tries[2] || tries[0] == tries[1] || tries[1] == tries[3] {
+		t.Errorf("tries %v", tries)
+	}
+}
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -67,10 +67,11 @@
 	DueS         float64  `cbor:"due_s"`
 }
 
-// The shapes of jobs: independent tasks that complete, and tasks that run until
-// the job is cancelled (docs/questions.md).
+// The shapes of jobs: independent tasks that complete; tasks that run only all
+// together; tasks that run until the job is cancelled (docs/questions.md).
 const (
 	Array  = "array"
+	Group  = "group"
 	Daemon = "daemon"
 )
 
@@ -146,7 +147,7 @@
 		return nil, errors.New("uid: not in the form of a job id")
 	}
 	switch s.Shape {
-	case Array, Daemon:
+	case Array, Group, Daemon:
 	default:
 		return nil, errors.New("shape: unknown")
 	}
@@ -253,7 +254,7 @@
 			return nil, err
 		}
 		switch p.Status {
-		case "fetching", "running", "saving", "ended":
+		case "fetching", "waiting", "running", "saving", "ended":
 		default:
 			return nil, errors.New("pieces: unknown status")
 		}
