Leave rooms to work whose image is there, for half of a fetch

Cause: Dar fetches 1.2 to 4 GB at 0.12 GB a second; the new count of starting tasks showed 230 of 1900 slots waiting for an image all through the first two minutes, and 17 images went to each of 390 machines. Change: rooms go first to work whose image is there and to work that has waited for such a room for half a fetch, then to any; queues of full machines likewise.

--- a/policy/default.star
+++ b/policy/default.star
@@ -5,7 +5,7 @@
 threshold = 0           # queued tasks beyond which a machine is overloaded
 local_wait_s = 10.0     # overflow waits this long before it walks on
 backlog = 2             # tasks queued, and committed ahead, on a machine that has no room
-image_patience = 0.0    # a room without its image is left to other work for this part of a fetch
+image_patience = 0.5    # a room without its image is left to other work for this part of a fetch
 
 grant_part = 0.3        # a node's grant lives this part of the workers' lease
 authority_part = 0.6    # an owner's authority, as a part of that lease
