Queue ahead on a full machine only what is likely to start within 5 s

Change: as many queue as slots are likely to fall free within ahead_s, by the estimates of what runs there; the one with the shortest wait is picked, a fetch counted in.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -288,7 +288,7 @@
 				Limit: job.Need{CPUs: t.CPUsMax, Acc: t.GPUsMax}, Weight: c.pol.TeamWeights[t.Name]}
 		}
 		div = divide.New(divide.Config{
-			Backlog: c.pol.Backlog, Aging: settings.Seconds(c.pol.AgingS), PutOff: settings.Seconds(c.pol.PutOffS),
+			Backlog: c.pol.Backlog, Ahead: settings.Seconds(c.pol.AheadS), Aging: settings.Seconds(c.pol.AgingS), PutOff: settings.Seconds(c.pol.PutOffS),
 			FaultPause: settings.Seconds(c.pol.FaultPauseS), FaultMax: settings.Seconds(c.pol.FaultMaxS),
 			SickAfter: c.pol.SickAfter, ValueBytes: c.store.ValueBytes(),
 			Targets: targets(f.Objectives), Preempt: settings.Seconds(c.pol.PreemptS), Settle: settings.Seconds(c.pol.SettleS),
--- a/divide/allot.go
+++ b/divide/allot.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"junipershelf/job"
+	"junipershelf/part"
 	"junipershelf/protocol"
 )
 
@@ -22,6 +23,9 @@
 		}
 	}
 	d.moves = nil
+	for _, m := range d.Order() {
+		d.expect(m, now)
+	}
 	aged := d.putOff(waits)
 	if len(aged) == 0 {
 		d.served = [2]float64{}
@@ -87,25 +91,53 @@
 	if ps.rooms {
 		return m.Free.CPUs > 0
 	}
-	return m.Queue < d.cfg.Backlog
+	return m.Queue < m.ahead
+}
+
+// expect works out how soon slots of a machine fall free, and how many tasks may
+// wait there: as many as are likely to start before the next ones can come.
+func (d *Divider) expect(m *Room, now time.Time) {
+	m.rate = 0
+	for i := range m.Held {
+		h := &m.Held[i]
+		l := d.jobs.Get(h.Job)
+		if l == nil || h.Phase == part.Gone || h.Phase == part.Queued {
+			continue
+		}
+		est := d.estimate(l)
+		left := est
+		if h.Phase == part.Running {
+			left = max(est-h.ForS-now.Sub(m.at).Seconds(), est/4)
+		}
+		m.rate += float64(h.Tasks.Len()) / left
+	}
+	m.ahead = min(d.cfg.Backlog, int(m.rate*d.cfg.Ahead.Seconds()+0.5))
 }
 
 // patient tells that a job leaves rooms without its image to others for now: the
 // fetch would hold the room idle for longer than another is likely to take to
 // fall free where the image is.
 func (d *Divider) patient(e *entry, now time.Time) bool {
-	if d.cfg.Patience <= 0 || e.live.Spec.SizeGB <= 0 || d.cfg.PullGBPerS == nil {
-		return false
-	}
-	rate := d.cfg.PullGBPerS()
-	if rate <= 0 || d.holders(e.live.Spec.Bundle) < e.free/4 {
+	fetch := d.fetchS(e.live)
+	if d.cfg.Patience <= 0 || fetch <= 0 || d.holders(e.live.Spec.Bundle) < e.free/4 {
 		return false
 	}
 	since := e.live.Seen
 	if e.servedAt.After(since) {
 		since = e.servedAt
 	}
-	return now.Sub(since).Seconds() < d.cfg.Patience*e.live.Spec.SizeGB/rate
+	return now.Sub(since).Seconds() < d.cfg.Patience*fetch
+}
+
+// fetchS is how long a job's image takes to fetch, in seconds.
+func (d *Divider) fetchS(l *job.Live) float64 {
+	if d.cfg.PullGBPerS == nil {
+		return 0
+	}
+	if rate := d.cfg.PullGBPerS(); rate > 0 {
+		return l.Spec.SizeGB / rate
+	}
+	return 0
 }
 
 // holders counts the machines that have an image.
@@ -259,19 +291,23 @@
 			!job.Allows(&l.Spec, m.Flavor, m.Zone, m.Spot) || !plain && !d.zoneOK(e, m.Zone) {
 			continue
 		}
-		score := 1.0
-		if slices.Contains(m.images, image) {
-			score += 50
-		} else if slices.Contains(m.fetching, image) {
-			score += 25
-		} else if matched {
-			continue
+		fetch := 0.0 // part of a fetch to come
+		if !slices.Contains(m.images, image) {
+			if fetch = 0.5; !slices.Contains(m.fetching, image) {
+				fetch = 1
+				if matched {
+					continue
+				}
+			}
 		}
+		score := 0.0
 		if ps.rooms {
 			// Fill machines up, so that others fall idle and can go.
-			score += 10 * (1 - m.Free.CPUs/max(m.Cap.CPUs, 1e-9))
+			score = 61 - 50*fetch - 10*m.Free.CPUs/max(m.Cap.CPUs, 1e-9)
 		} else {
-			score += 10 - 10*float64(m.Queue)
+			// The one where it is likely to start first.
+			wait := float64(m.Queue+1)/max(m.rate, 1e-3) + fetch*d.fetchS(l)
+			score = 1 / (1 + wait)
 		}
 		if best == nil || score > bestScore {
 			best, bestScore = m, score
--- a/divide/divide.go
+++ b/divide/divide.go
@@ -18,7 +18,8 @@
 
 // Config holds sizes and times.
 type Config struct {
-	Backlog    int           // tasks queued on a machine that has no room
+	Backlog    int           // most tasks queued on a machine that has no room
+	Ahead      time.Duration // as many as are likely to start within this
 	Aging      time.Duration // waiting this long lifts work by one urgency
 	PutOff     time.Duration // what was put off for this long gets a part of all room
 	FaultPause time.Duration // first pause of a job whose task failed
--- a/divide/divide_test.go
+++ b/divide/divide_test.go
@@ -14,7 +14,7 @@
 
 var t0 = time.Unix(1_000_000, 0)
 
-var testConfig = Config{Backlog: 1, Aging: time.Hour, FaultPause: 2 * time.Second, FaultMax: time.Minute, SickAfter: 2, ValueBytes: 8192}
+var testConfig = Config{Backlog: 1, Ahead: time.Hour, Aging: time.Hour, FaultPause: 2 * time.Second, FaultMax: time.Minute, SickAfter: 2, ValueBytes: 8192}
 
 func caps(string) (job.Need, bool) { return job.Need{CPUs: 4, Mem: 32}, true }
 
--- a/divide/ledger.go
+++ b/divide/ledger.go
@@ -71,7 +71,9 @@
 	at       time.Time // when it was shown
 	images   []int32
 	fetching []int32
-	pending  int // tasks allotted that its owner has not acknowledged
+	rate     float64 // slots that fall free in a second, of this turn
+	ahead    int     // tasks that may wait there, of this turn
+	pending  int     // tasks allotted that its owner has not acknowledged
 	ver      uint64
 }
 
--- a/policy/default.star
+++ b/policy/default.star
@@ -4,7 +4,8 @@
 buddies = 10            # entries of the preferred list that take overflow
 threshold = 0           # queued tasks beyond which a machine is overloaded
 local_wait_s = 10.0     # overflow waits this long before it walks on
-backlog = 2             # tasks queued, and committed ahead, on a machine that has no room
+ahead_s = 5.0           # on a full machine so many tasks queue, committed ahead, as are likely to start within this
+backlog = 3             # but at most these
 image_patience = 0.5    # a room without its image is left to other work for this part of a fetch
 
 grant_part = 0.3        # a node's grant lives this part of the workers' lease
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,6 +23,7 @@
 	Threshold     int     `star:"threshold" min:"0" max:"1000"`
 	LocalWaitS    float64 `star:"local_wait_s" min:"0.1" max:"3600"`
 	Backlog       int     `star:"backlog" min:"0" max:"100"`
+	AheadS        float64 `star:"ahead_s" min:"0" max:"600"`
 	ImagePatience float64 `star:"image_patience" min:"0" max:"10"`
 	GrantPart     float64 `star:"grant_part" min:"0.05" max:"0.9"`
 	AuthorityPart float64 `star:"authority_part" min:"0.1" max:"0.95"`
