Shorter records, and machines spread over them by what they take when full

Cause: in Muscat's troubles 1400 of 4600 slots waited for a start from 90 to 140 s while changes were left over: records were full. Machines had chosen theirs when all were nearly empty, just after coming up. Change: a machine counts in its record as full from the start; runs are one text for each machine, jobs are named once; unfinished jobs are merged when a record is three quarters full, two at a time, instead of by an estimate.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -571,10 +571,6 @@
 	return protocol.Entry{}, false
 }
 
-// mergeFill is the part of all shards that finished tasks of unfinished jobs may
-// take before they move to the jobs' records.
-const mergeFill = 0.15
-
 // mergeLoop is the divider's: it takes finished tasks over into the jobs' records
 // and ends the jobs that are complete.
 func (c *Controller) mergeLoop(ctx context.Context) {
@@ -583,8 +579,7 @@
 		p, d, view := c.part, c.div, c.view
 		var ms []divide.Merge
 		if p != nil && d != nil {
-			room := int(mergeFill * float64(view.Parts*c.store.ValueBytes()))
-			ms = d.Merges(time.Now(), settings.Seconds(c.pol.MergeS), c.store.TxnOps()/2, view.Parts, room)
+			ms = d.Merges(time.Now(), settings.Seconds(c.pol.MergeS), c.store.TxnOps()/2)
 			d.Merging(ms, time.Now())
 			c.work.merges += len(ms)
 		}
--- a/controller/loops.go
+++ b/controller/loops.go
@@ -159,7 +159,7 @@
 	runtime.ReadMemStats(&mem)
 	c.log.Info("budgets", "requests", u.Requests, "changes", u.Changes, "refused", u.Refused, "commits", c.work.commits,
 		"merges", c.work.merges, "commit_ms", c.work.commit.Milliseconds(), "turns", c.work.turns, "turn_ms", c.work.turn.Milliseconds(), "syncs", c.work.syncs,
-		"reports", c.work.reports, "reports_held", c.work.held, "machines", machines, "tasks", tasks, "unmerged", unmerged,
+		"reports", c.work.reports, "reports_held", c.work.held, "machines", machines, "tasks", tasks, "unmerged", unmerged, "fill", int(100*p.Fill()),
 		"polls_refused", c.admit.refusals(), "heap_mb", mem.HeapInuse>>20, "goroutines", runtime.NumGoroutine())
 	c.work = work{}
 }
--- a/divide/divide_test.go
+++ b/divide/divide_test.go
@@ -318,18 +318,21 @@
 func TestMerges(t *testing.T) {
 	m := mirror(protocol.Spec{UID: "wk-1", Owner: "blue", CPUs: 1, Pieces: 3}, protocol.Spec{UID: "wk-2", Owner: "blue", CPUs: 1, Pieces: 100000})
 	d := New(testConfig, teams(), 1, caps, m)
+	fill := 0.5
 	tell := func(n uint64, tasks ...job.Task) {
 		var done []part.DoneTask
 		for _, tk := range tasks {
 			done = append(done, part.DoneTask{Task: tk})
 		}
-		d.Digest(0, part.Digest{N: n, Ver: n, Done: done}, t0)
+		d.Digest(0, part.Digest{N: n, Ver: n, Done: done, Fill: fill}, t0)
 	}
 	tell(1, job.Task{Job: "wk-1", Index: 2}, job.Task{Job: "wk-1", Index: 0})
-	if ms := d.Merges(t0, time.Second, 16, 6, 1000); len(ms) != 0 {
+	if ms := d.Merges(t0, time.Second, 16); len(ms) != 0 {
 		t.Fatalf("although the shards have room: %+v", ms)
 	}
-	ms := d.Merges(t0, time.Second, 16, 6, 0)
+	fill = 0.8
+	tell(2)
+	ms := d.Merges(t0, time.Second, 16)
 	if len(ms) != 1 || ms[0].Rec.Done != "0,2" || ms[0].Ended != nil {
 		t.Fatalf("%+v", ms)
 	}
@@ -337,21 +340,21 @@
 	if err := m.Set("wk-1", ms[0].Rec, 2, t0); err != nil {
 		t.Fatal(err)
 	}
-	if ms = d.Merges(t0.Add(time.Second), time.Second, 16, 6, 0); len(ms) != 0 {
+	if ms = d.Merges(t0.Add(time.Second), time.Second, 16); len(ms) != 0 {
 		t.Fatalf("again: %+v", ms)
 	}
-	tell(2, job.Task{Job: "wk-1", Index: 1})
-	if ms = d.Merges(t0.Add(time.Millisecond), time.Second, 16, 6, 0); len(ms) != 1 || ms[0].Ended == nil || ms[0].Ended.Done != 3 || ms[0].Ops() != 2 {
+	tell(3, job.Task{Job: "wk-1", Index: 1})
+	if ms = d.Merges(t0.Add(time.Millisecond), time.Second, 16); len(ms) != 1 || ms[0].Ended == nil || ms[0].Ended.Done != 3 || ms[0].Ops() != 2 {
 		t.Fatalf("complete: %+v", ms)
 	}
-	if ms = d.Merges(t0, time.Second, 1, 6, 0); len(ms) != 0 {
+	if ms = d.Merges(t0, time.Second, 1); len(ms) != 0 {
 		t.Fatalf("over the number of changes: %+v", ms)
 	}
 	m.Drop("wk-1", t0)
 	for i := 0; i < 6000; i += 2 {
 		m.Get("wk-2").Finished.Add(i)
 	}
-	if ms = d.Merges(t0.Add(time.Minute), time.Second, 16, 6, 0); len(ms) != 0 {
+	if ms = d.Merges(t0.Add(time.Minute), time.Second, 16); len(ms) != 0 {
 		t.Error("a record outgrows its value")
 	}
 }
--- a/divide/ledger.go
+++ b/divide/ledger.go
@@ -29,6 +29,7 @@
 	n       uint64
 	ver     uint64
 	seq     uint64
+	fill    float64
 	unacked []Allotment
 }
 
@@ -127,7 +128,7 @@
 			}
 		}
 	}
-	w.synced, w.n, w.ver = true, dg.N, dg.Ver
+	w.synced, w.n, w.ver, w.fill = true, dg.N, dg.Ver, dg.Fill
 	for _, t := range dg.Done {
 		d.completed(t)
 	}
--- a/divide/merge.go
+++ b/divide/merge.go
@@ -15,7 +15,6 @@
 	Rec   job.Record
 	Ended *job.Ended
 	lacks int
-	bytes int // that the shards hold of it, about
 }
 
 // Ops is how many changes it takes.
@@ -26,33 +25,31 @@
 	return 1
 }
 
-// The room that finished tasks take in the shards, about: a row for each job in each
-// of them, and a number for each task.
+// fillMost is how full the shards' records may be before finished tasks of
+// unfinished jobs move to the jobs' records, and partMerges how many jobs' at once.
 const (
-	rowBytes  = 20
-	taskBytes = 4
+	fillMost   = 0.75
+	partMerges = 2
 )
 
-// Merges lists what the jobs' records lack: those that are complete, and while what
-// the shards hold of others takes more than room, those that lack most; at most ops
-// changes in all. The divider is the only one who writes finished tasks there, so
-// that owners never get into each other's way; what it writes is true in any view,
-// and what it does not write yet is safe in the shards. Until they fill up, each
-// change is worth more to the shards, where it starts and ends tasks.
-func (d *Divider) Merges(now time.Time, every time.Duration, ops, shards, room int) []Merge {
+// Merges lists what the jobs' records lack, at most ops changes: of the jobs that
+// are complete, and while shards are nearly full, of those that lack most. The
+// divider is the only one who writes finished tasks there, so that owners never
+// get into each other's way; what it writes is true in any view, and what it does
+// not write yet is safe in the shards. Until they fill up, each change is worth
+// more to the shards, where it starts and ends tasks.
+func (d *Divider) Merges(now time.Time, every time.Duration, ops int) []Merge {
 	var out []Merge
-	held := 0
+	full := d.Fill() > fillMost
 	for uid, l := range d.jobs.Jobs {
 		have := l.Finished.Len()
 		m := Merge{UID: uid, Stamp: l.Stamp, Rec: l.Record, lacks: have - l.Merged.Len()}
 		if m.lacks == 0 {
 			continue
 		}
-		m.bytes = min(m.lacks, shards)*rowBytes + m.lacks*taskBytes
-		held += m.bytes
 		if have >= l.Spec.Pieces {
 			m.Ended = &job.Ended{Status: job.Done, Done: l.Spec.Pieces}
-		} else if now.Sub(d.merged[uid]) < every {
+		} else if !full || now.Sub(d.merged[uid]) < every {
 			continue
 		}
 		m.Rec.Done = l.Finished.String()
@@ -71,18 +68,26 @@
 		}
 		return a.UID < b.UID
 	})
+	part := 0
 	for i := range out {
-		if out[i].Ended == nil && held <= room {
-			return out[:i]
+		if out[i].Ended == nil {
+			part++
 		}
-		if ops -= out[i].Ops(); ops < 0 {
+		if ops -= out[i].Ops(); ops < 0 || part > partMerges {
 			return out[:i]
 		}
-		held -= out[i].bytes
 	}
 	return out
 }
 
+// Fill is how full the fullest record of any owner is.
+func (d *Divider) Fill() (most float64) {
+	for i := range d.owners {
+		most = max(most, d.owners[i].fill)
+	}
+	return most
+}
+
 // Merging notes that merges are under way.
 func (d *Divider) Merging(ms []Merge, now time.Time) {
 	for uid := range d.merged {
--- a/part/commit.go
+++ b/part/commit.go
@@ -77,11 +77,13 @@
 	return room.CPUs > 0 && room.Mem > 0
 }
 
-// perMachine is about what a machine takes in a record.
-const perMachine = 150
+// bytesOf is about what a machine takes in a record once it is full.
+func (p *Part) bytesOf(m *Machine) int { return 60 + 22*(int(m.cap.CPUs)+p.cfg.Ahead) }
 
 // shardOf finds the shard for a machine's first placement: the first of its part
-// with room for a machine's worth.
+// with room for the machine when all of them are full. Going by what is written
+// so far once filled records with machines that had just come up, and starts
+// waited for room in them.
 func (p *Part) shardOf(m *Machine) *shard {
 	if m.shard != nil {
 		return m.shard
@@ -90,27 +92,36 @@
 	if p.cfg.PartOf != nil {
 		n = p.cfg.PartOf(m.ID)
 	}
-	chunk := 0
-	for {
-		var s *shard
-		for _, o := range p.shards {
-			if o.part == n && o.chunk == chunk {
-				s = o
-			}
-		}
-		if s == nil {
-			s = &shard{part: n, chunk: chunk, key: ShardKey(n, chunk)}
-			p.shards = append(p.shards, s)
+	want := map[*shard]int{}
+	for _, o := range p.machines {
+		if o.shard != nil && o.shard.part == n {
+			want[o.shard] += p.bytesOf(o)
 		}
-		if s.size < p.cfg.ValueBytes*7/10 {
-			s.size += perMachine // until it is written
+	}
+	for chunk := 0; ; chunk++ {
+		i := slices.IndexFunc(p.shards, func(s *shard) bool { return s.part == n && s.chunk == chunk })
+		if i < 0 {
+			i = len(p.shards)
+			p.shards = append(p.shards, &shard{part: n, chunk: chunk, key: ShardKey(n, chunk)})
+		}
+		s := p.shards[i]
+		// The rest is for the jobs' rows and for what completes.
+		if want[s] == 0 || want[s]+p.bytesOf(m) <= p.cfg.ValueBytes*6/10 && s.size <= p.cfg.ValueBytes*8/10 {
 			m.shard = s
 			return s
 		}
-		chunk++
 	}
 }
 
+// Fill is how full the fullest record is, as a part of a value.
+func (p *Part) Fill() float64 {
+	most := 0
+	for _, s := range p.shards {
+		most = max(most, s.size)
+	}
+	return float64(most) / float64(max(p.cfg.ValueBytes, 1))
+}
+
 // NextCommit collects what is to be committed, at most so many shards, or nil.
 // Shards with tasks that could start come first, then those that wait longest.
 // The commit must be settled before the next one is made.
--- a/part/part_test.go
+++ b/part/part_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -205,7 +206,7 @@
 	m := newMirror(t, one("wk-1", 2))
 	p := New(testConfig, 5, 0, t0, caps, m)
 	rec := record("a", 1, old("wk-1", 0, 77))
-	rec.Done = []RecDone{{UID: "wk-1", Tasks: "1"}}
+	rec.Done = []RecDone{{Job: 0, Tasks: "1"}}
 	if err := p.Load(ShardKey(0, 0), rec, 3, t0); err != nil {
 		t.Fatal(err)
 	}
@@ -718,6 +719,25 @@
 	})
 }
 
+// Broken records are told apart from good ones, and another session's runs are kept.
+func TestRecordsReadBack(t *testing.T) {
+	pl := old("wk-1", 3, 1<<40)
+	pl.Session = 4
+	rec := record("a", 5, pl, old("wk-1", 4, 1<<40+7))
+	for _, text := range []string{rec.Machines[0].Runs, "", "0", "0.0", "0.0:x", "9.0:1", "0.9:1", "0.0@x:1", "-1.0:1"} {
+		rec.Machines[0].Runs = text
+		got := ""
+		err := rec.each(func(m *RecMachine, _ RecKind, p *Placement) { got += fmt.Sprint(p.Task, p.Try-1<<40, p.Session, ";") })
+		if strings.Contains(text, "@4:3") {
+			if want(t, "read back", got, "wk-1/3 0 4;wk-1/4 7 1;"); err != nil {
+				t.Error(err)
+			}
+		} else if err == nil {
+			t.Errorf("%q is taken", text)
+		}
+	}
+}
+
 // jsonSize is the length of a CBOR value in its JSON form.
 func jsonSize(t interface{ Fatal(...any) }, raw []byte) int {
 	mode, err := cbor.DecOptions{DefaultMapType: nil}.DecMode()
--- a/part/record.go
+++ b/part/record.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -42,7 +44,7 @@
 	Mem  float64
 }
 
-// RecJob is a job as its placements need it.
+// RecJob is a job as its placements need it; Need is below 0 if it has none here.
 type RecJob struct {
 	_    struct{} `cbor:",toarray"`
 	UID  string
@@ -50,29 +52,61 @@
 }
 
 // RecMachine is a machine with placements. Tick is that of the last report taken:
-// a new owner ignores copies of older ones.
+// a new owner ignores copies of older ones. Runs are ranges of tasks that were
+// placed together, "job.try:tasks" by their places in the lists, parted by
+// semicolons; "job.try@shift:tasks" where they belong to another session.
 type RecMachine struct {
 	_     struct{} `cbor:",toarray"`
 	ID    string
 	Kind  int
 	Shift uint64
 	Tick  uint64
-	Runs  []RecRun
+	Runs  string
 }
 
-// RecRun is a range of one job's tasks that were placed together.
-type RecRun struct {
-	_     struct{} `cbor:",toarray"`
-	Job   int
-	Try   int
-	Shift uint64
-	Tasks string
+// run is one of a machine's runs.
+type run struct {
+	job, try int
+	shift    uint64
+	tasks    job.Ranges
+}
+
+func (r *run) write(b *strings.Builder, shift uint64) {
+	if b.Len() > 0 {
+		b.WriteByte(';')
+	}
+	fmt.Fprintf(b, "%d.%d", r.job, r.try)
+	if r.shift != shift {
+		fmt.Fprintf(b, "@%d", r.shift)
+	}
+	b.WriteByte(':')
+	b.WriteString(r.tasks.String())
+}
+
+func parseRun(s string, shift uint64) (r run, err error) {
+	head, tasks, ok := strings.Cut(s, ":")
+	head, at, other := strings.Cut(head, "@")
+	j, t, two := strings.Cut(head, ".")
+	if !ok || !two {
+		return r, fmt.Errorf("run: %q", s)
+	}
+	r.shift = shift
+	if r.job, err = strconv.Atoi(j); err == nil {
+		r.try, err = strconv.Atoi(t)
+	}
+	if err == nil && other {
+		r.shift, err = strconv.ParseUint(at, 10, 64)
+	}
+	if err == nil {
+		r.tasks, err = job.ParseRanges(tasks)
+	}
+	return r, err
 }
 
 // RecDone is one job's finished tasks.
 type RecDone struct {
 	_     struct{} `cbor:",toarray"`
-	UID   string
+	Job   int
 	Tasks string
 }
 
@@ -97,6 +131,9 @@
 	return k
 }
 
+// rowBytes is what a job's row of finished tasks takes beside their ranges.
+const rowBytes = 9
+
 // Size is the length of the record in its JSON form, at the most, with room for
 // all that is placed to be done as well: what ends never makes a record outgrow
 // its value.
@@ -109,7 +146,7 @@
 		n += len(k.Team) + 40
 	}
 	for _, j := range r.Jobs {
-		n += 2*len(j.UID) + digits(uint64(j.Need)) + 14
+		n += len(j.UID) + digits(uint64(j.Need)) + 6 + rowBytes
 	}
 	for _, t := range r.Tries {
 		n += digits(t) + 1
@@ -117,12 +154,14 @@
 	for i := range r.Machines {
 		m := &r.Machines[i]
 		n += len(m.ID) + digits(uint64(m.Kind)) + digits(m.Shift) + digits(m.Tick) + 11
-		for _, run := range m.Runs {
-			n += digits(uint64(run.Job)) + digits(uint64(run.Try)) + digits(run.Shift) + 2*len(run.Tasks) + 10
+		n += len(m.Runs) + 3
+		for text := range strings.SplitSeq(m.Runs, ";") {
+			_, tasks, _ := strings.Cut(text, ":")
+			n += len(tasks) + 1 // once more as finished
 		}
 	}
 	for _, d := range r.Done {
-		n += len(d.UID) + len(d.Tasks) + 8
+		n += len(d.Tasks)
 	}
 	return n
 }
@@ -134,19 +173,19 @@
 		if m.Kind < 0 || m.Kind >= len(r.Kinds) {
 			return fmt.Errorf("machine %s: no such kind", m.ID)
 		}
-		for _, run := range m.Runs {
-			if run.Job < 0 || run.Job >= len(r.Jobs) || run.Try < 0 || run.Try >= len(r.Tries) ||
-				r.Jobs[run.Job].Need < 0 || r.Jobs[run.Job].Need >= len(r.Needs) {
-				return fmt.Errorf("machine %s: no such job, need or try", m.ID)
-			}
-			tasks, err := job.ParseRanges(run.Tasks)
+		for text := range strings.SplitSeq(m.Runs, ";") {
+			run, err := parseRun(text, m.Shift)
 			if err != nil {
-				return err
+				return fmt.Errorf("machine %s: %w", m.ID, err)
+			}
+			if run.job < 0 || run.job >= len(r.Jobs) || run.try < 0 || run.try >= len(r.Tries) ||
+				r.Jobs[run.job].Need < 0 || r.Jobs[run.job].Need >= len(r.Needs) {
+				return fmt.Errorf("machine %s: no such job, need or try", m.ID)
 			}
-			j := r.Jobs[run.Job]
+			j := r.Jobs[run.job]
 			need := r.Needs[j.Need]
-			for i := range tasks.All() {
-				f(m, r.Kinds[m.Kind], &Placement{Task: job.Task{Job: j.UID, Index: i}, Try: r.Base + r.Tries[run.Try], Session: run.Shift,
+			for i := range run.tasks.All() {
+				f(m, r.Kinds[m.Kind], &Placement{Task: job.Task{Job: j.UID, Index: i}, Try: r.Base + r.Tries[run.try], Session: run.shift,
 					Need: job.Need{CPUs: need.CPUs, Acc: need.Acc, Mem: need.Mem}, Team: need.Team, committed: true})
 			}
 		}
@@ -161,8 +200,11 @@
 		if err != nil {
 			return err
 		}
+		if d.Job < 0 || d.Job >= len(r.Jobs) {
+			return fmt.Errorf("finished tasks: no such job")
+		}
 		for i := range tasks.All() {
-			f(job.Task{Job: d.UID, Index: i})
+			f(job.Task{Job: r.Jobs[d.Job].UID, Index: i})
 		}
 	}
 	return nil
@@ -201,31 +243,39 @@
 		shift    uint64
 	}
 	at := map[key]int{}
-	var tasks []job.Ranges
+	var runs []run
 	for _, pl := range all {
 		need := intern(w.needs, &w.rec.Needs, RecNeed{Team: pl.Team, CPUs: pl.Need.CPUs, Acc: pl.Need.Acc, Mem: pl.Need.Mem})
-		j, ok := w.jobs[pl.Task.Job]
-		if !ok {
-			j = len(w.rec.Jobs)
-			w.jobs[pl.Task.Job] = j
-			w.rec.Jobs = append(w.rec.Jobs, RecJob{UID: pl.Task.Job, Need: need})
-		}
-		k := key{j, intern(w.tries, &w.rec.Tries, pl.Try), pl.Session}
+		k := key{w.job(pl.Task.Job, need), intern(w.tries, &w.rec.Tries, pl.Try), pl.Session}
 		i, ok := at[k]
 		if !ok {
-			i = len(row.Runs)
+			i = len(runs)
 			at[k] = i
-			row.Runs = append(row.Runs, RecRun{Job: k.job, Try: k.try, Shift: k.shift})
-			tasks = append(tasks, job.Ranges{})
+			runs = append(runs, run{job: k.job, try: k.try, shift: k.shift})
 		}
-		tasks[i].Add(pl.Task.Index)
+		runs[i].tasks.Add(pl.Task.Index)
 	}
-	for i := range row.Runs {
-		row.Runs[i].Tasks = tasks[i].String()
+	var text strings.Builder
+	for i := range runs {
+		runs[i].write(&text, m.shift)
 	}
+	row.Runs = text.String()
 	w.rec.Machines = append(w.rec.Machines, row)
 }
 
+// job finds or makes a job's row.
+func (w *writer) job(uid string, need int) int {
+	j, ok := w.jobs[uid]
+	if !ok {
+		j = len(w.rec.Jobs)
+		w.jobs[uid] = j
+		w.rec.Jobs = append(w.rec.Jobs, RecJob{UID: uid, Need: need})
+	} else if need >= 0 && w.rec.Jobs[j].Need < 0 {
+		w.rec.Jobs[j].Need = need
+	}
+	return j
+}
+
 // finished adds a task that completed.
 func (w *writer) finished(t job.Task) {
 	if w.done[t.Job] == nil {
@@ -235,10 +285,9 @@
 }
 
 func (w *writer) record() *Record {
-	for uid, d := range w.done {
-		w.rec.Done = append(w.rec.Done, RecDone{UID: uid, Tasks: d.String()})
+	for _, uid := range slices.Sorted(maps.Keys(w.done)) {
+		w.rec.Done = append(w.rec.Done, RecDone{Job: w.job(uid, -1), Tasks: w.done[uid].String()})
 	}
-	slices.SortFunc(w.rec.Done, func(a, b RecDone) int { return strings.Compare(a.UID, b.UID) })
 	if len(w.rec.Tries) > 0 {
 		w.rec.Base = slices.Min(w.rec.Tries)
 		for i := range w.rec.Tries {
