--- a/divide/allot.go
+++ b/divide/allot.go
@@ -107,7 +107,7 @@
 		est := d.estimate(l)
 		left := est
 		if h.Phase == part.Running {
-			left = max(est-h.ForS-now.Sub(m.at).Seconds(), est/4)
+			left = max(est-h.ForS-now.Sub(m.at).Seconds(), est/2)
 		}
 		m.rate += float64(h.Tasks.Len()) / left
 	}
