--- a/controller/controller.go
+++ b/controller/controller.go
@@ -129,7 +129,7 @@
 
 func (c *Controller) newPlanner() *fleet.Planner {
 	p := fleet.New(fleet.Config{
-		Horizon: settings.Seconds(c.pol.HorizonS), IdleBoots: c.pol.IdleBoots,
+		IdleBoots:  c.pol.IdleBoots,
 		BootFactor: c.pol.BootFactor, BootSlack: settings.Seconds(c.pol.BootSlackS),
 		Retry: settings.Seconds(c.pol.RefusalS), OrdinaryRank: c.pol.OrdinaryRank,
 		OrdinaryWait: settings.Seconds(c.pol.OrdinaryWaitS), ListLag: settings.Seconds(c.set.Facts.Cloud.ListLagS),
@@ -579,8 +579,7 @@
 		p, d, view := c.part, c.div, c.view
 		var ms []divide.Merge
 		if p != nil && d != nil {
-			ms = d.Merges(time.Now(), settings.Seconds(c.pol.MergeS), c.store.TxnOps()/2)
-			d.Merging(ms, time.Now())
+			ms = d.Merges(c.store.TxnOps() / 2)
 			c.work.merges += len(ms)
 		}
 		c.mu.Unlock()
--- a/divide/divide.go
+++ b/divide/divide.go
@@ -87,7 +87,6 @@
 	imageAt  map[int32]int // machines that have an image
 
 	rates  map[string]*times
-	merged map[string]time.Time
 	moves  []part.Move
 	stops  map[job.Task]time.Time
 	sick   map[string]map[job.Task]bool
@@ -107,7 +106,7 @@
 func New(cfg Config, teams []Team, owners int, caps part.Caps, jobs *job.Mirror) *Divider {
 	d := &Divider{cfg: cfg, Teams: teams, byName: map[string]int{}, jobs: jobs, owners: make([]owner, owners), caps: caps,
 		entries: map[string]*entry{}, machines: map[string]*Room{}, removed: map[string]uint64{}, images: map[string]int32{}, imageAt: map[int32]int{},
-		rates: map[string]*times{}, merged: map[string]time.Time{}, stops: map[job.Task]time.Time{},
+		rates: map[string]*times{}, stops: map[job.Task]time.Time{},
 		sick: map[string]map[job.Task]bool{}, Sick: map[string]bool{}}
 	for i, t := range teams {
 		d.byName[t.Name] = i
--- a/divide/merge.go
+++ b/divide/merge.go
@@ -2,7 +2,6 @@
 
 import (
 	"sort"
-	"time"
 
 	"junipershelf/job"
 )
@@ -38,7 +37,7 @@
 // get into each other's way; what it writes is true in any view, and what it does
 // not write yet is safe in the shards. Until they fill up, each change is worth
 // more to the shards, where it starts and ends tasks.
-func (d *Divider) Merges(now time.Time, every time.Duration, ops int) []Merge {
+func (d *Divider) Merges(ops int) []Merge {
 	var out []Merge
 	full := d.Fill() > fillMost
 	for uid, l := range d.jobs.Jobs {
@@ -49,7 +48,7 @@
 		}
 		if have >= l.Spec.Pieces {
 			m.Ended = &job.Ended{Status: job.Done, Done: l.Spec.Pieces}
-		} else if !full || now.Sub(d.merged[uid]) < every {
+		} else if !full {
 			continue
 		}
 		m.Rec.Done = l.Finished.String()
@@ -88,18 +87,6 @@
 	return most
 }
 
-// Merging notes that merges are under way.
-func (d *Divider) Merging(ms []Merge, now time.Time) {
-	for uid := range d.merged {
-		if d.jobs.Get(uid) == nil {
-			delete(d.merged, uid)
-		}
-	}
-	for _, m := range ms {
-		d.merged[m.UID] = now
-	}
-}
-
 // specRoom is what a job's record takes beside its ranges, at the most that is
 // accepted.
 const specRoom = 1500
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -16,9 +16,8 @@
 
 // Config holds the fleet's times and bounds.
 type Config struct {
-	Horizon      time.Duration // work is to be drained within this
-	IdleBoots    float64       // an idle machine goes after this part of its boot time
-	BootFactor   float64       // a machine that boots this many times boot_s is given up
+	IdleBoots    float64 // an idle machine goes after this part of its boot time
+	BootFactor   float64 // a machine that boots this many times boot_s is given up
 	BootSlack    time.Duration
 	Retry        time.Duration // after a refusal
 	OrdinaryRank int           // urgencies up to this may rent ordinary machines
@@ -225,7 +224,7 @@
 			continue
 		}
 		// Only what is free now: what runs there keeps its room for longer than
-		// the horizon, as far as anybody knows.
+		// a boot, as far as anybody knows.
 		if m.Open() {
 			have.add(Offer{m.Flavor, m.Zone, m.Spot}, m.Free, 1)
 		}
@@ -251,11 +250,8 @@
 			left.CPUs += t.QueuedCPUs()
 		}
 		n := min(w.Tasks+d.Queued(l.Spec.UID), need.Slots(left))
-		est := max(l.Spec.ExpectedS, 5)
-		share := min(1, est/p.cfg.Horizon.Seconds())
-		slots := int(math.Ceil(float64(n) * share))
 		head[w.Team] = left.Minus(job.Need{CPUs: need.CPUs * float64(n), Acc: need.Acc * float64(n)})
-		slots = have.take(l, offers, slots)
+		slots := have.take(l, offers, n)
 		for slots > 0 {
 			o, c, ok := p.best(now, w, w.Rank, need, want)
 			if !ok {
--- a/policy/default.star
+++ b/policy/default.star
@@ -11,7 +11,6 @@
 grant_part = 0.3        # a node's grant lives this part of the workers' lease
 authority_part = 0.6    # an owner's authority, as a part of that lease
 silent_part = 0.75      # a machine silent for this part of it is returned
-merge_s = 1.5           # finished tasks enter an unfinished job's record this often
 stale_s = 6.0           # no start on knowledge of the jobs older than this
 
 aging_s = 600.0         # waiting this long lifts work by one urgency
@@ -22,7 +21,6 @@
 fault_max_s = 60.0
 sick_after = 3          # tasks failing on a machine that others complete
 
-horizon_s = 10.0        # the fleet is sized to drain its work in this time
 idle_boots = 0.4        # an idle machine is returned after this part of its boot time
 settle_s = 35.0         # a start that ran this long stands, and may be stopped to drain a machine
 spare = 0.15            # room kept free when draining, as a part of what is in use
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,7 +28,6 @@
 	GrantPart     float64 `star:"grant_part" min:"0.05" max:"0.9"`
 	AuthorityPart float64 `star:"authority_part" min:"0.1" max:"0.95"`
 	SilentPart    float64 `star:"silent_part" min:"0.2" max:"100"`
-	MergeS        float64 `star:"merge_s" min:"0" max:"2"`
 	StaleS        float64 `star:"stale_s" min:"3" max:"10"`
 	AgingS        float64 `star:"aging_s" min:"1" max:"1e6"`
 	PutOffS       float64 `star:"put_off_s" min:"0" max:"200"`
@@ -37,7 +36,6 @@
 	FaultPauseS   float64 `star:"fault_pause_s" min:"0.1" max:"60"`
 	FaultMaxS     float64 `star:"fault_max_s" min:"1" max:"3600"`
 	SickAfter     int     `star:"sick_after" min:"1" max:"1000"`
-	HorizonS      float64 `star:"horizon_s" min:"1" max:"1e6"`
 	IdleBoots     float64 `star:"idle_boots" min:"0" max:"1e6"`
 	SettleS       float64 `star:"settle_s" min:"0" max:"3600"`
 	Spare         float64 `star:"spare" min:"0" max:"100"`
