Serve while owners cannot call the divider: their records count until they do

Cause: with controllers refusing each other and a change of view, the new divider waited for every owner to call, and nothing was started for 35 s anywhere. Change: an owner that has not called counts with its committed records, read after the view, and is given nothing; it can hold no more. The fleet is planned only when all have called. Ruled out: authority and workers; both were as ever.

--- a/controller/day_test.go
+++ b/controller/day_test.go
@@ -493,6 +493,28 @@
 	d.t.Errorf("%s does not answer for %s within %v", node, uid, limit)
 }
 
+// Controllers that cannot reach each other still serve: the divider of a new view
+// gives work to its own machines at once, although the others cannot call it.
+func TestControllersCutFromEachOther(t *testing.T) {
+	play(t, func(t *testing.T, d *day) {
+		d.submit(spec("wk-1", "blue", 200))
+		time.Sleep(25 * time.Second)
+		d.net.Cut(func(a, b string) bool { return a[0] == 'n' && b[0] == 'n' })
+		d.crash("n0", 100*time.Millisecond)
+		time.Sleep(8 * time.Second)
+		before := 0
+		d.cloud.Lock(func() { before = d.cloud.Starts })
+		time.Sleep(20 * time.Second)
+		d.cloud.Lock(func() {
+			if n := d.cloud.Starts - before; n < 8 {
+				t.Errorf("%d starts in 20 s", n)
+			}
+		})
+		d.net.Cut(nil)
+		d.finish(map[string]int{"wk-1": 200}, 4*time.Minute)
+	})
+}
+
 // A machine that reports but hears nothing: what it held runs elsewhere, it gets
 // nothing new, and it is returned.
 func TestMachineThatHearsNothing(t *testing.T) {
--- a/controller/loops.go
+++ b/controller/loops.go
@@ -102,7 +102,7 @@
 	a.OK = true
 	a.Have = c.div.Digest(q.Index, q.Digest, now)
 	c.plan.Gone(q.Digest.Gone, now)
-	if now.Sub(c.turn) >= turnEvery && c.div.Synced() && c.roster.Holds(c.view.Number) {
+	if now.Sub(c.turn) >= turnEvery && c.roster.Holds(c.view.Number) {
 		c.allot(now)
 	}
 	a.Allot = c.div.Unacked(q.Index)
@@ -182,10 +182,13 @@
 			told = now
 			c.tell()
 		}
-		if c.div == nil || !c.div.Synced() || !c.roster.Holds(c.view.Number) {
+		if c.div == nil || !c.roster.Holds(c.view.Number) {
 			c.mu.Unlock()
 			continue
 		}
+		// An owner that has not called yet holds what its records show, and no more:
+		// nobody else has given it anything in this view. So the others need not wait
+		// for it, as they once did for as long as controllers refused each other.
 		waits := c.allot(now)
 		if tell {
 			t := c.div.Totals()
@@ -193,7 +196,8 @@
 				"held", t.Held, "running", t.Running, "starting", t.Starting, "queued", t.Queued, "waiting", t.Waiting, "free_cpus", int(t.Free),
 				"allotted", c.div.Counts.Allotted, "put_off", c.div.Counts.PutOff, "preempted", c.div.Counts.Stopped)
 		}
-		if !c.plan.Listed() || len(c.plan.Flavors) == 0 {
+		// Of the fleet nothing is known that such an owner has not told.
+		if !c.div.Synced() || !c.plan.Listed() || len(c.plan.Flavors) == 0 {
 			c.mu.Unlock()
 			continue
 		}
--- a/divide/divide_test.go
+++ b/divide/divide_test.go
@@ -243,6 +243,34 @@
 	}
 }
 
+// An owner that has not called yet counts with what its records show: its machines
+// take nothing, its tasks are not given to others, and the limit holds; the others
+// are served meanwhile. Once it calls, what it shows counts.
+func TestOwnerThatHasNotCalled(t *testing.T) {
+	m := mirror(protocol.Spec{UID: "wk-1", Owner: "red", CPUs: 1, Pieces: 9})
+	d := New(testConfig, teams(), 2, caps, m)
+	theirs := machine("b")
+	theirs.Usable, theirs.Heard = false, false
+	theirs.Held = []part.Held{{Job: "wk-1", Team: "red", Need: job.Need{CPUs: 1}, Tasks: tasks(0, 1), Phase: part.Starting}}
+	d.Inherit(1, []part.State{theirs}, []part.DoneTask{{Task: job.Task{Job: "wk-1", Index: 2}}}, t0)
+	d.Digest(0, whole(1, machine("a")), t0)
+	d.Allot(t0)
+	got := ""
+	for _, tk := range list(d, 0) {
+		got += tk.String() + " "
+	}
+	if got != "wk-1/3 wk-1/4 wk-1/5 " || len(d.Unacked(1)) != 0 {
+		t.Errorf("gives %q, and %d to who has not called; red may hold 5", got, len(d.Unacked(1)))
+	}
+	shown := machine("b")
+	shown.Held = []part.Held{{Job: "wk-1", Team: "red", Need: job.Need{CPUs: 1}, Tasks: tasks(1), Phase: part.Running}}
+	d.Digest(1, whole(1, shown), t0)
+	d.Allot(t0)
+	if n := len(list(d, 0)) + len(list(d, 1)); n != 4 {
+		t.Errorf("%d given once its task 0 is known to be gone, want 4", n)
+	}
+}
+
 // TestServedByShares: with more asked than can be done, urgencies come first and
 // teams of one urgency are served in turn by their shares, all within their
 // guarantees before anybody borrows.
