Drain also while idle machines leave or others boot: of a thousand some always do

Cause: the drain waited until no machine was idle and none booted. Ruled out: too few machines at a time (4 % were allowed, hardly any was drained).

--- a/controller/day_test.go
+++ b/controller/day_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -59,6 +60,23 @@
 
 var nodeNames = []string{"n0", "n1", "n2"}
 
+// world is a deployment: what the settings say of it, and what the stand-ins do.
+type world struct {
+	facts   string
+	rules   standin.Rules
+	flavors []protocol.Flavor
+	room    map[string]int
+}
+
+// small is the deployment of most tests: eight machines at the most.
+var small = world{
+	facts: facts,
+	rules: standin.Rules{Lease: 10 * time.Second, Report: 1500 * time.Millisecond, Cancel: 30 * time.Second,
+		Limits: map[string]float64{"red": 12, "blue": 20}},
+	flavors: []protocol.Flavor{{Label: "quad", CPUs: 4, MemGB: 32, CacheGB: 70, PullGBPerS: 0.5, Rate: 0.3, SpotPrice: 0.1, BootS: 5, Yards: []string{"east", "west"}}},
+	room:    map[string]int{"quad": 8},
+}
+
 // day is three controllers with stand-ins for all that is around them.
 type day struct {
 	t     *testing.T
@@ -67,6 +85,7 @@
 	store *standin.Store
 	cloud *standin.Cloud
 	log   *lockedBuffer
+	world world
 
 	mu    sync.Mutex
 	stops map[string]context.CancelFunc
@@ -90,17 +109,14 @@
 	return l.b.String()
 }
 
-func newDay(t *testing.T, ctx context.Context, seed uint64) *day {
+func newDay(t *testing.T, ctx context.Context, seed uint64, w world) *day {
 	t.Helper()
-	d := &day{t: t, ctx: ctx, net: standin.NewNet(), store: standin.NewStore(8192), log: &lockedBuffer{},
+	d := &day{t: t, ctx: ctx, net: standin.NewNet(), store: standin.NewStore(8192), log: &lockedBuffer{}, world: w,
 		stops: map[string]context.CancelFunc{}, ended: map[string]chan struct{}{}}
-	d.cloud = standin.NewCloud(ctx, d.net, seed, standin.Rules{Lease: 10 * time.Second, Report: 1500 * time.Millisecond,
-		Cancel: 30 * time.Second, Limits: map[string]float64{"red": 12, "blue": 20}},
-		[]protocol.Flavor{{Label: "quad", CPUs: 4, MemGB: 32, CacheGB: 70, PullGBPerS: 0.5, Rate: 0.3, SpotPrice: 0.1, BootS: 5, Yards: []string{"east", "west"}}})
-	d.cloud.Room["quad"] = 8
-	for i, n := range nodeNames {
-		d.cloud.Nodes[n] = fmt.Sprintf("%s:%d", n, 8080)
-		_ = i
+	d.cloud = standin.NewCloud(ctx, d.net, seed, w.rules, w.flavors)
+	maps.Copy(d.cloud.Room, w.room)
+	for _, n := range nodeNames {
+		d.cloud.Nodes[n] = n + ":8080"
 	}
 	if err := d.store.Serve(ctx, d.net, "state:2379"); err != nil {
 		t.Fatal(err)
@@ -116,7 +132,7 @@
 
 // parse makes a node's settings; the addresses of the network in memory are
 // names, which the platform's file never has.
-func parse(t *testing.T, node string) *settings.Settings {
+func parse(t *testing.T, node, facts string) *settings.Settings {
 	t.Helper()
 	text := fmt.Sprintf("node_name = %q\ndomain = \"east\"\nfront = \"10.0.0.1:8080\"\ninternal_addr = \"10.0.0.1:8081\"\n", node)
 	for _, n := range nodeNames {
@@ -142,7 +158,7 @@
 	}
 	ctx, stop := context.WithCancel(d.ctx)
 	log := slog.New(slog.NewTextHandler(d.log, &slog.HandlerOptions{Level: slog.LevelInfo})).With("node", node)
-	c := controller.New(parse(d.t, node), pol, log, controller.Network{Listen: d.net.Listen, Dial: d.net.Dialer(node)})
+	c := controller.New(parse(d.t, node, d.world.facts), pol, log, controller.Network{Listen: d.net.Listen, Dial: d.net.Dialer(node)})
 	done := make(chan struct{})
 	d.mu.Lock()
 	d.stops[node], d.ended[node] = stop, done
@@ -265,10 +281,15 @@
 }
 
 func play(t *testing.T, f func(t *testing.T, d *day)) {
+	t.Helper()
+	playIn(t, small, f)
+}
+
+func playIn(t *testing.T, w world, f func(t *testing.T, d *day)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
-		d := newDay(t, ctx, 1)
+		d := newDay(t, ctx, 1, w)
 		f(t, d)
 		stop()
 		d.net.Cut(nil)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -188,7 +189,6 @@
 // Plan gives what to rent, which machines to drain, and which to return at once.
 func (p *Planner) Plan(now time.Time, d *divide.Divider, waits []*divide.Wait) (hires []Hire, leave, drop []string) {
 	have := pool{}
-	booting := 0
 	for id, r := range p.rented {
 		m := d.Machine(id)
 		if m != nil && m.Heard {
@@ -209,12 +209,10 @@
 			drop = append(drop, id)
 			continue
 		}
-		booting++
 		have.add(r.Offer, Cap(f), 1)
 	}
 	for o, n := range p.pending {
 		if f := p.Flavor(o.Flavor); f != nil && n > 0 {
-			booting += n
 			have.add(o, Cap(f), n)
 		}
 	}
@@ -260,7 +258,6 @@
 			k := need.Slots(c)
 			count := min((slots+k-1)/k, spread)
 			want[o] += count
-			booting += count
 			slots -= count * k
 			if slots < 0 {
 				if _, seen := have[o]; !seen {
@@ -297,8 +294,8 @@
 			leave = append(leave, m.ID)
 		}
 	}
-	if len(leave) == 0 && len(waits) == 0 && len(hires) == 0 && booting == 0 {
-		leave = append(leave, p.shrink(now, d)...)
+	if len(waits) == 0 && len(hires) == 0 {
+		leave = append(leave, p.shrink(now, d, leave)...)
 	}
 	sort.Strings(drop)
 	return hires, leave, drop
@@ -313,8 +310,10 @@
 
 // shrink picks machines to drain when nothing waits and the others have room for
 // all that they run, with some to spare. What saves its progress is moved; the
-// rest ends where it is. Dear machines go first, then the emptiest.
-func (p *Planner) shrink(now time.Time, d *divide.Divider) (out []string) {
+// rest ends where it is. Dear machines go first, then the emptiest. Idle ones that
+// leave anyway, and machines that still boot, are no reason to wait: of a thousand
+// there is always one, and once nothing was drained for that.
+func (p *Planner) shrink(now time.Time, d *divide.Divider, leave []string) (out []string) {
 	type load struct {
 		m    *divide.Room
 		used float64
@@ -335,11 +334,14 @@
 		}
 		held += used
 		if !m.Open() {
-			if m.Leaving {
+			if m.Leaving && used > 0 {
 				most--
 			}
 			continue
 		}
+		if slices.Contains(leave, m.ID) {
+			continue
+		}
 		free += max(m.Free.CPUs, 0)
 		if used == 0 || young {
 			continue
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -159,6 +159,25 @@
 	}
 }
 
+// Of a large fleet some machines are always idle or about to boot. Once nothing was
+// drained while that was so, and a thousand machines emptied one by one.
+func TestDrainsBesideIdleAndBootingMachines(t *testing.T) {
+	state := func(id string, free, idle float64) part.State {
+		return part.State{ID: id, Flavor: "quad", Zone: "z", Spot: true, Usable: true, Heard: true, IdleS: idle, Room: job.Need{CPUs: free, Mem: 32}}
+	}
+	states := []part.State{state("a", 3, -1), state("b", 2, -1), state("idle", 4, 60)}
+	p, d := setup(t, "normal", 2, states...)
+	d.Job("wk-1").Spec.SnapshotS = 10
+	for i, k := range []int{0, 1, 1} {
+		states[k].Held = append(states[k].Held, part.Held{Job: "wk-1", Team: "red", Need: job.Need{CPUs: 1}, Tasks: one(i), Phase: part.Running, ForS: 50})
+	}
+	d.Digest(0, part.Digest{N: 2, Ver: 2, Machines: states}, t0)
+	p.Hired(Hire{Offer{"quad", "z", true}, 1}, []string{"boots"}, t0)
+	if _, leave, _ := plan(p, d, t0); !cmp.Equal(leave, []string{"idle", "a"}) {
+		t.Errorf("leaves %v, want the idle one and the emptiest", leave)
+	}
+}
+
 // A team at its limit with a part of it queued on full machines wants machines
 // for that part.
 func TestRentsForWhatQueues(t *testing.T) {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -25,6 +25,14 @@
 	Limits map[string]float64 // CPUs by team
 }
 
+// tally counts what runs, so that judging a start does not look at the whole fleet.
+type tally struct {
+	pieces map[string]int // machines that run a task
+	teams  map[string]float64
+	zones  map[[2]string]int // by job and zone
+	jobs   map[string]int
+}
+
 // Cloud rents out workers and judges what runs on them.
 type Cloud struct {
 	mu      sync.Mutex
@@ -41,6 +49,7 @@
 	workers map[string]*worker
 	specs   map[string]*protocol.Spec
 	gone    map[string]time.Time // cancelled jobs
+	on      tally
 
 	RunFor  func(piece string) time.Duration
 	Sick    map[string]bool // machines that fail every task
@@ -60,6 +69,7 @@
 		Room: map[string]int{}, ctx: ctx, hires: map[string][]string{}, workers: map[string]*worker{},
 		specs: map[string]*protocol.Spec{}, gone: map[string]time.Time{}, Results: map[string]int{},
 		Sick: map[string]bool{}, Broken: map[string]bool{}, Deaf: map[string]bool{},
+		on:     tally{pieces: map[string]int{}, teams: map[string]float64{}, zones: map[[2]string]int{}, jobs: map[string]int{}},
 		RunFor: func(string) time.Duration { return 5 * time.Second }}
 }
 
@@ -154,12 +164,38 @@
 func (w *worker) end() {
 	w.dead = true
 	w.stop()
+	w.clear()
+}
+
+// clear ends all that is on the machine.
+func (w *worker) clear() {
 	for _, r := range w.runs {
 		r.timer.Stop()
+		w.set(r, "ended")
 	}
 	w.runs = map[string]*run{}
 }
 
+// set changes a task's status and keeps the tally.
+func (w *worker) set(r *run, status string) {
+	by := 0
+	if r.status == "running" {
+		by--
+	}
+	if r.status = status; status == "running" {
+		by++
+	}
+	if by == 0 {
+		return
+	}
+	uid, _, _ := strings.Cut(r.piece, "/")
+	s, t := w.c.specs[uid], &w.c.on
+	t.pieces[r.piece] += by
+	t.teams[s.Owner] += float64(by) * s.CPUs
+	t.zones[[2]string{uid, w.zone}] += by
+	t.jobs[uid] += by
+}
+
 // Serve serves the cloud's interface.
 func (c *Cloud) Serve(ctx context.Context, a string) error {
 	r := chi.NewRouter()
@@ -284,14 +320,15 @@
 	w.c.mu.Unlock()
 	go func() { // the lease runs even while a report is under way
 		for ctx.Err() == nil {
+			w.c.mu.Lock()
+			w.expire()
+			left := w.c.rules.Lease - time.Since(w.okSent) + 10*time.Millisecond
+			w.c.mu.Unlock()
 			select {
 			case <-ctx.Done():
 				return
-			case <-time.After(100 * time.Millisecond):
+			case <-time.After(left):
 			}
-			w.c.mu.Lock()
-			w.expire()
-			w.c.mu.Unlock()
 		}
 	}()
 	for ctx.Err() == nil {
@@ -363,10 +400,7 @@
 
 func (w *worker) expire() {
 	if !w.okSent.IsZero() && time.Since(w.okSent) > w.c.rules.Lease {
-		for _, r := range w.runs {
-			r.timer.Stop()
-		}
-		w.runs = map[string]*run{}
+		w.clear()
 		w.shift++
 		w.okSent = time.Now()
 		w.changed()
@@ -410,7 +444,8 @@
 		case "kill":
 			if x != nil && x.try == o.Try && x.status != "ended" {
 				x.timer.Stop()
-				x.status, x.cause = "ended", "halted"
+				w.set(x, "ended")
+				x.cause = "halted"
 			}
 		case "forget":
 			if x != nil && x.try == o.Try && x.status == "ended" {
@@ -463,7 +498,7 @@
 			return
 		}
 		w.images[s.Bundle] = true
-		n.status = "running"
+		w.set(n, "running")
 		w.c.judge(w, n, s)
 		d := w.c.RunFor(o.Piece)
 		n.timer = time.AfterFunc(d, func() {
@@ -472,7 +507,8 @@
 			if w.dead || w.runs[o.Piece] != n || n.status != "running" {
 				return
 			}
-			n.status, n.cause = "ended", "done"
+			w.set(n, "ended")
+			n.cause = "done"
 			if w.c.Sick[w.id] || w.c.Broken[s.UID] {
 				n.cause = "error"
 			} else {
@@ -486,31 +522,15 @@
 // judge checks the rules as a task starts.
 func (c *Cloud) judge(w *worker, r *run, s *protocol.Spec) {
 	c.Starts++
-	used := 0.0
-	zones, all := map[string]int{}, 0
-	for id, x := range c.workers {
-		for _, y := range x.runs {
-			if y.status != "running" {
-				continue
-			}
-			if y.piece == r.piece && id != w.id {
-				c.fault("ran_twice: %s on %s and %s", r.piece, w.id, id)
-			}
-			uid, _, _ := strings.Cut(y.piece, "/")
-			if c.specs[uid].Owner == s.Owner {
-				used += c.specs[uid].CPUs
-			}
-			if uid == s.UID {
-				zones[x.zone]++
-				all++
-			}
-		}
+	if c.on.pieces[r.piece] > 1 {
+		c.fault("ran_twice: %s on %s and elsewhere", r.piece, w.id)
 	}
+	used, here, all := c.on.teams[s.Owner], c.on.zones[[2]string{s.UID, w.zone}], c.on.jobs[s.UID]
 	if used > c.rules.Limits[s.Owner]+1e-9 {
 		c.fault("quota: %s uses %v", s.Owner, used)
 	}
-	if w.spot && !s.Borrowed || s.Yard != "" && s.Yard != w.zone || s.Together && zones[w.zone] != all ||
-		s.Scatter && zones[w.zone] > (s.Pieces+1)/2 {
+	if w.spot && !s.Borrowed || s.Yard != "" && s.Yard != w.zone || s.Together && here != all ||
+		s.Scatter && here > (s.Pieces+1)/2 {
 		c.fault("wrong_place: %s on %s", r.piece, w.id)
 	}
 	if at, ok := c.gone[s.UID]; ok && time.Since(at) > c.rules.Cancel {
@@ -532,3 +552,13 @@
 	}
 	return n
 }
+
+// Running counts the tasks that run.
+func (c *Cloud) Running() (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range c.on.jobs {
+		n += k
+	}
+	return n
+}
