--- a/controller/day_test.go
+++ b/controller/day_test.go
@@ -541,6 +541,60 @@
 	})
 }
 
+// A zone is cut off with a controller and half of the machines in it, for three leases;
+// what was held back arrives when the cut ends. Inside, its workers are answered until
+// the controller's authority ends; outside, their tasks run again only once their leases
+// are over or they were returned. Submissions go on outside all the while.
+func TestZoneCutOff(t *testing.T) {
+	for _, node := range []string{"n0", "n2"} { // the divider, and another
+		t.Run(node, func(t *testing.T) {
+			play(t, func(t *testing.T, d *day) {
+				d.cloud.RunFor = func(string) time.Duration { return 12 * time.Second }
+				d.submit(spec("wk-1", "blue", 60))
+				d.submit(spec("wk-2", "red", 40))
+				time.Sleep(25 * time.Second)
+				in := func(h string) bool {
+					return h == node || strings.HasPrefix(h, "i-") && (h[len(h)-1]-'0')%2 == 1
+				}
+				d.net.Cut(func(a, b string) bool { return in(a) != in(b) })
+				time.Sleep(15 * time.Second)
+				d.submit(spec("wk-3", "blue", 10))
+				time.Sleep(15 * time.Second)
+				d.net.Cut(nil)
+				d.finish(map[string]int{"wk-1": 60, "wk-2": 40, "wk-3": 10}, 5*time.Minute)
+			})
+		})
+	}
+}
+
+// A controller stands still for three leases while its clocks run on: nothing reaches it
+// or leaves it, and then all that was held comes at once, its own late calls too.
+func TestControllerStandsStill(t *testing.T) {
+	for _, node := range []string{"n0", "n1"} {
+		t.Run(node, func(t *testing.T) {
+			play(t, func(t *testing.T, d *day) {
+				d.submit(spec("wk-1", "blue", 600))
+				d.submit(spec("wk-2", "red", 300))
+				time.Sleep(22 * time.Second)
+				for range 2 {
+					d.net.Cut(func(a, b string) bool { return a == node || b == node })
+					time.Sleep(30 * time.Second)
+					before := 0
+					d.cloud.Lock(func() { before = d.cloud.Starts })
+					d.net.Cut(nil)
+					time.Sleep(8 * time.Second)
+					d.cloud.Lock(func() {
+						if d.cloud.Starts == before {
+							t.Error("nothing starts once it goes on")
+						}
+					})
+				}
+				d.finish(map[string]int{"wk-1": 600, "wk-2": 300}, 5*time.Minute)
+			})
+		})
+	}
+}
+
 // A machine that reports but hears nothing: what it held runs elsewhere, it gets
 // nothing new, and it is returned.
 func TestMachineThatHearsNothing(t *testing.T) {
