Hold a report's answer for longer where machines report seldom

Ruled out: the divider's turn (1 to 7 ms) and the commits (0.1 s each) as the cause of the ramp's lag: fresh machines get their first orders 1.2 to 1.4 s after their first report.

--- a/controller/front.go
+++ b/controller/front.go
@@ -12,6 +12,7 @@
 	"junipershelf/job"
 	"junipershelf/peer"
 	"junipershelf/protocol"
+	"junipershelf/settings"
 	"junipershelf/state"
 )
 
@@ -298,8 +299,12 @@
 
 // beatHold is how long a report's answer waits for a commit, or for the divider,
 // when its machine has room that waiting work could take: the next start goes with
-// this answer, and the machine would not report again before its time.
-const beatHold = 900 * time.Millisecond
+// this answer, and the machine would not report again before its time. So it is the
+// longer the more seldom machines report, but well below the 4 s after which a worker
+// gives an answer up.
+func (c *Controller) beatHold() time.Duration {
+	return min(max(settings.Seconds(c.set.Facts.Workers.ReportS*0.4), 900*time.Millisecond), 2*time.Second)
+}
 
 // Beat answers a worker's report.
 func (c *Controller) Beat(ctx context.Context, body []byte) front.Answer {
@@ -403,7 +408,7 @@
 	if p.Wants(b.Host) || c.hungry && p.Spare(b.Host) {
 		c.work.held++
 		poke(c.dirty)
-		limit := time.After(beatHold)
+		limit := time.After(c.beatHold())
 	wait:
 		for c.part == p && (p.Wants(b.Host) || c.hungry && p.Spare(b.Host)) {
 			settled := c.settled
