Serve by the nearest aim that can be met, whatever its kind, and by four of them

Cause: a class's aims were ordered waits first, deadlines last, and only two were looked at. The fleet deployments have four to a class, so nobody was served by the deadlines. Ruled out: estimates (they are corrected), the room (the same jobs could have been in time).

--- a/divide/divide_test.go
+++ b/divide/divide_test.go
@@ -583,3 +583,18 @@
 		}
 	}
 }
+
+// With several aims for a class the nearest one that can be met comes first, whatever
+// its kind. Once waits came before deadlines, and only two aims were looked at.
+func TestNearestTargetFirst(t *testing.T) {
+	cfg := testConfig
+	cfg.Targets = map[string][]Target{"q": {{Start: true, Within: 100 * time.Second}, {Within: 350 * time.Second}, {Times: 1}, {Times: 1.5}}}
+	d := New(cfg, teams(), 1, caps, mirror(protocol.Spec{UID: "wk-1", Queue: "q", Owner: "red", CPUs: 1, Pieces: 1, ExpectedS: 20, DueS: 60}))
+	d.Digest(0, whole(1, machine("a")), t0)
+	for _, c := range []struct{ at, want time.Duration }{{0, 60 * time.Second}, {50 * time.Second, 90 * time.Second}, {80 * time.Second, 120 * time.Second}, {150 * time.Second, 350 * time.Second}} {
+		w := d.Waiting(t0.Add(c.at))
+		if got := w[0].target.Sub(t0); len(w) != 1 || got != c.want {
+			t.Errorf("after %v: target %v, want %v", c.at, got, c.want)
+		}
+	}
+}
--- a/divide/order.go
+++ b/divide/order.go
@@ -1,6 +1,7 @@
 package divide
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -15,7 +16,7 @@
 	Tasks   int // that wait
 	Age     time.Duration
 	Rank    int  // the urgency's place, after aging
-	Grade   int  // 0 in time for its first target, 1 for a later one, 2 for none
+	Grade   int  // 0 in time for its first target, then for a later one, late for none
 	Lost    bool // no room however large could still make it be in time
 	entry   *entry
 	est     float64
@@ -30,13 +31,13 @@
 // stands behind other work.
 func (w *Wait) Level() int {
 	if w.Grade >= late && w.Rank >= ordinary {
-		return len(protocol.Urgencies)*4 + w.Grade
+		return len(protocol.Urgencies)*(late+1) + w.Grade
 	}
-	return w.Rank*4 + w.Grade
+	return w.Rank*(late+1) + w.Grade
 }
 
 const (
-	late     = 2
+	late     = 4 // so many targets are looked at, the nearest that can be met
 	ordinary = 2 // the first urgency that is not pressing
 )
 
@@ -65,7 +66,9 @@
 }
 
 // targets are the times by which a job should have started or be complete, as
-// far as it alone could still meet them, given as the latest end of its work.
+// far as it alone could still meet them, given as the latest end of its work, the
+// nearest first. Once they came by kind, waits before deadlines: with four targets
+// to a class, the deadlines were the third and fourth and nobody served by them.
 func (d *Divider) targets(w *Wait, now time.Time) []time.Time {
 	var out []time.Time
 	est := time.Duration(w.est * float64(time.Second))
@@ -90,6 +93,7 @@
 	if len(all) == 0 && w.Job.Spec.DueS > 0 {
 		out = append(out, at.Add(time.Duration(w.Job.Spec.DueS*float64(time.Second))))
 	}
+	slices.SortFunc(out, time.Time.Compare)
 	return out
 }
 
