Work that came within its team's guarantee is never put off

Cause: where not all can be in time the largest jobs are put off, also those that had come first and lay within their team's guarantee; smaller ones that came later took their place.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"sort"
 	"sync"
 	"time"
 
@@ -291,7 +290,7 @@
 			Backlog: c.pol.Backlog, Ahead: settings.Seconds(c.pol.AheadS), Aging: settings.Seconds(c.pol.AgingS), PutOff: settings.Seconds(c.pol.PutOffS),
 			FaultPause: settings.Seconds(c.pol.FaultPauseS), FaultMax: settings.Seconds(c.pol.FaultMaxS),
 			SickAfter: c.pol.SickAfter, ValueBytes: c.store.ValueBytes(),
-			Targets: targets(f.Objectives), Preempt: settings.Seconds(c.pol.PreemptS), Settle: settings.Seconds(c.pol.SettleS),
+			Targets: targets(f.Objectives), Promise: promise(f.Objectives), Preempt: settings.Seconds(c.pol.PreemptS), Settle: settings.Seconds(c.pol.SettleS),
 			MaxLoss: settings.Seconds(c.pol.PreemptLossS), Patience: c.pol.ImagePatience, PullGBPerS: c.pull,
 		}, teams, len(view.Members), c.caps, c.mirror)
 	}
@@ -340,7 +339,17 @@
 	return least
 }
 
-// targets puts the settings' objectives by class, the nearest first.
+// promise is within what time work inside a guarantee is to start: the nearest aim.
+func promise(all []settings.Objective) (least time.Duration) {
+	for _, o := range all {
+		if w := settings.Seconds(o.WithinS); o.Kind == "guarantee" && w > 0 && (least == 0 || w < least) {
+			least = w
+		}
+	}
+	return least
+}
+
+// targets puts the settings' objectives by class.
 func targets(all []settings.Objective) map[string][]divide.Target {
 	out := map[string][]divide.Target{}
 	for _, o := range all {
@@ -355,11 +364,6 @@
 		}
 		out[o.Class] = append(out[o.Class], t)
 	}
-	for _, l := range out {
-		sort.SliceStable(l, func(i, j int) bool {
-			return l[i].Times < l[j].Times || l[i].Times == l[j].Times && l[i].Within < l[j].Within
-		})
-	}
 	return out
 }
 
--- a/divide/divide.go
+++ b/divide/divide.go
@@ -31,7 +31,8 @@
 	PullGBPerS func() float64      // how fast machines fetch
 	Settle     time.Duration       // a start that ran this long stands
 	MaxLoss    time.Duration       // of run time, for each task stopped
-	Targets    map[string][]Target // by class of jobs, the nearest first
+	Targets    map[string][]Target // by class of jobs
+	Promise    time.Duration       // work within a guarantee is to start within this; 0: there is no such aim
 }
 
 // Target is what is expected of a class of jobs: to have started or to be
--- a/divide/divide_test.go
+++ b/divide/divide_test.go
@@ -598,3 +598,29 @@
 		}
 	}
 }
+
+// A large job that came first and lies within its team's guarantee is not put off for
+// the many small ones that came after it.
+func TestPromisedWorkIsNotPutOff(t *testing.T) {
+	for _, promise := range []time.Duration{0, 60 * time.Second} {
+		cfg := testConfig
+		cfg.Promise = promise
+		cfg.Targets = map[string][]Target{"q": {{Within: 40 * time.Second}}}
+		specs := []protocol.Spec{{UID: "wk-1", Queue: "q", Owner: "blue", CPUs: 1, Pieces: 6, ExpectedS: 20}}
+		for i := range 9 {
+			specs = append(specs, protocol.Spec{UID: fmt.Sprintf("wk-2%d", i), Queue: "q", Owner: "blue", CPUs: 1, Pieces: 1, ExpectedS: 20})
+		}
+		d := New(cfg, teams(), 1, caps, mirror(specs...))
+		d.Digest(0, whole(1, machine("a")), t0)
+		d.Allot(t0)
+		first := 0
+		for _, a := range list(d, 0) {
+			if a.Job == "wk-1" {
+				first++
+			}
+		}
+		if want := map[bool]int{false: 0, true: 4}[promise > 0]; first < want || promise == 0 && first > 0 {
+			t.Errorf("promise %v: %d tasks of the first job, want %d", promise, first, want)
+		}
+	}
+}
--- a/divide/ledger.go
+++ b/divide/ledger.go
@@ -45,6 +45,9 @@
 	zones map[string]int
 	ver   uint64
 
+	judged   bool // when it came: whether it lies within its team's guarantee
+	promised bool
+
 	held, queued, running int
 	since                 float64 // sum of the running tasks' start times
 
@@ -465,7 +468,9 @@
 // refresh takes the mirror's jobs into the ledger and drops what is over.
 func (d *Divider) refresh() {
 	for uid := range d.jobs.Jobs {
-		d.entry(uid)
+		if e := d.entry(uid); !e.judged {
+			d.vouch(e)
+		}
 	}
 	for uid, e := range d.entries {
 		if d.jobs.Get(uid) == nil {
@@ -480,6 +485,24 @@
 	}
 }
 
+// vouch notes whether a job lies within its team's guarantee together with the team's
+// earlier jobs that are not over: then it need not wait for anybody.
+func (d *Divider) vouch(e *entry) {
+	e.judged = true
+	l := e.live
+	if l == nil || l.Team < 0 {
+		return
+	}
+	var sum job.Need
+	for _, o := range d.jobs.Jobs {
+		if o.Team == l.Team && (o.At < l.At || o.At == l.At && o.Spec.UID <= l.Spec.UID) {
+			n := float64(o.Spec.Pieces)
+			sum = sum.Plus(job.Need{CPUs: o.Spec.CPUs * n, Acc: o.Spec.Accelerators * n})
+		}
+	}
+	e.promised = sum.Fits(d.Teams[l.Team].Guarantee)
+}
+
 // Saves tells whether a job's tasks keep their progress when they are stopped.
 func (d *Divider) Saves(uid string) bool {
 	l := d.jobs.Get(uid)
--- a/divide/order.go
+++ b/divide/order.go
@@ -11,19 +11,23 @@
 
 // Wait is a job with tasks that wait for room.
 type Wait struct {
-	Job     *job.Live
-	Team    int
-	Tasks   int // that wait
-	Age     time.Duration
-	Rank    int  // the urgency's place, after aging
-	Grade   int  // 0 in time for its first target, then for a later one, late for none
-	Lost    bool // no room however large could still make it be in time
-	entry   *entry
-	est     float64
-	target  time.Time
-	work    float64 // CPU seconds that wait
-	blocked bool
-	limited bool
+	Job   *job.Live
+	Team  int
+	Tasks int // that wait
+	Age   time.Duration
+	Rank  int  // the urgency's place, after aging
+	Grade int  // 0 in time for its first target, then for a later one, late for none
+	Lost  bool // no room however large could still make it be in time
+	entry *entry
+	// promised is work within its team's guarantee, which may still start in time. It
+	// is never put off: the rule below picks the largest, and the largest jobs of a
+	// team were late although they had come first.
+	promised bool
+	est      float64
+	target   time.Time
+	work     float64 // CPU seconds that wait
+	blocked  bool
+	limited  bool
 }
 
 // Level orders the waiting jobs: by urgency, and in it those that can be in time
@@ -54,6 +58,7 @@
 			continue
 		}
 		w := &Wait{Job: l, Team: l.Team, Tasks: e.free, Age: now.Sub(time.UnixMilli(l.At)), Rank: l.Rank, entry: e, est: d.estimate(l)}
+		w.promised = d.cfg.Promise > 0 && e.promised && w.Age < d.cfg.Promise
 		w.work = float64(w.Tasks) * l.Spec.CPUs * w.est
 		if d.cfg.Aging > 0 {
 			// Waiting lifts work, so the low is not starved.
@@ -90,6 +95,9 @@
 		}
 		out = append(out, by)
 	}
+	if by := at.Add(d.cfg.Promise + est); w.promised && !now.Add(est).After(by) {
+		out = append(out, by)
+	}
 	if len(all) == 0 && w.Job.Spec.DueS > 0 {
 		out = append(out, at.Add(time.Duration(w.Job.Spec.DueS*float64(time.Second))))
 	}
@@ -176,7 +184,7 @@
 				all := sum/room > left
 				worst := -1
 				for i, x := range in {
-					if x.Rank == w.Rank && (all || x.Team == w.Team) && (worst < 0 || x.work > in[worst].work) {
+					if x.Rank == w.Rank && !x.promised && (all || x.Team == w.Team) && (worst < 0 || x.work > in[worst].work) {
 						worst = i
 					}
 				}
