What misses its first aim goes by its next one among the others, if it makes none late

Cause: jobs that could not meet their first aim stood behind all that could, however much time those had, and so missed the next aims too. How long an image takes is worked out once for a job.

--- a/divide/allot.go
+++ b/divide/allot.go
@@ -278,6 +278,7 @@
 	l := e.live
 	need := l.Need()
 	image := d.image(l.Spec.Bundle)
+	fetchS := d.fetchS(l)
 	bestScore := 0.0
 	plain := movable(&l.Spec)
 	shun := ""
@@ -306,7 +307,7 @@
 			score = 61 - 50*fetch - 10*m.Free.CPUs/max(m.Cap.CPUs, 1e-9)
 		} else {
 			// The one where it is likely to start first.
-			wait := float64(m.Queue+1)/max(m.rate, 1e-3) + fetch*d.fetchS(l)
+			wait := float64(m.Queue+1)/max(m.rate, 1e-3) + fetch*fetchS
 			score = 1 / (1 + wait)
 		}
 		if best == nil || score > bestScore {
--- a/divide/divide_test.go
+++ b/divide/divide_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -624,3 +625,61 @@
 		}
 	}
 }
+
+// What is not put off is in time in the order of service, by the plain sums of work,
+// and what is put off could not be added to it by any of its targets: the slow check of
+// the rule and of the later targets.
+func TestWhoCanBeInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := testConfig
+		cfg.Targets = map[string][]Target{"q": {{Within: 100 * time.Second}, {Times: 1}, {Times: 1.5}}}
+		limits := []Team{{Name: "red", Limit: job.Need{CPUs: 3}}, {Name: "blue", Limit: job.Need{CPUs: 9}}}
+		var specs []protocol.Spec
+		for i := range rapid.IntRange(1, 9).Draw(t, "jobs") {
+			specs = append(specs, protocol.Spec{UID: fmt.Sprintf("wk-%d", i), Queue: "q", Owner: rapid.SampledFrom([]string{"red", "blue"}).Draw(t, "team"),
+				Urgency: "normal", CPUs: 1, Pieces: rapid.IntRange(1, 12).Draw(t, "pieces"), ExpectedS: float64(rapid.IntRange(5, 40).Draw(t, "s")),
+				DueS: float64(rapid.IntRange(10, 90).Draw(t, "due"))})
+		}
+		d := New(cfg, limits, 1, caps, mirror(specs...))
+		d.Digest(0, whole(1, machine("a")), t0)
+		waits := d.Waiting(t0)
+		inTime := func(ws []*Wait) bool {
+			all, team := 0.0, []float64{0, 0}
+			for _, w := range ws {
+				all += w.work
+				team[w.Team] += w.work
+				if left := w.target.Sub(t0).Seconds() + 1e-6; all/4 > left || team[w.Team]/limits[w.Team].Limit.CPUs > left {
+					return false
+				}
+			}
+			return true
+		}
+		var in, off []*Wait
+		for _, w := range waits {
+			if w.Late {
+				off = append(off, w)
+			} else if in = append(in, w); len(off) > 0 {
+				t.Fatal("what is in time stands behind what is put off")
+			}
+		}
+		if !inTime(in) {
+			t.Fatal("not all that is not put off is in time")
+		}
+		for _, w := range off {
+			for _, by := range d.targets(w, t0)[min(1, len(d.targets(w, t0))):] {
+				c := *w
+				c.Late, c.target = false, by
+				with := append(slices.Clone(in), &c)
+				slices.SortFunc(with, func(a, b *Wait) int {
+					if before(a, b) {
+						return -1
+					}
+					return 1
+				})
+				if inTime(with) {
+					t.Fatalf("%s was put off, but could be in time by %v", w.Job.Spec.UID, by.Sub(t0))
+				}
+			}
+		}
+	})
+}
--- a/divide/order.go
+++ b/divide/order.go
@@ -16,7 +16,7 @@
 	Tasks int // that wait
 	Age   time.Duration
 	Rank  int  // the urgency's place, after aging
-	Grade int  // 0 in time for its first target, then for a later one, late for none
+	Late  bool // put off: it cannot be in time, or others were late if it is
 	Lost  bool // no room however large could still make it be in time
 	entry *entry
 	// promised is work within its team's guarantee, which may still start in time. It
@@ -34,14 +34,17 @@
 // first. Those that cannot go behind all that can, except that urgent work never
 // stands behind other work.
 func (w *Wait) Level() int {
-	if w.Grade >= late && w.Rank >= ordinary {
-		return len(protocol.Urgencies)*(late+1) + w.Grade
+	switch {
+	case !w.Late:
+		return w.Rank * 2
+	case w.Rank < ordinary:
+		return w.Rank*2 + 1
 	}
-	return w.Rank*(late+1) + w.Grade
+	return len(protocol.Urgencies) * 2
 }
 
 const (
-	late     = 4 // so many targets are looked at, the nearest that can be met
+	aims     = 4 // so many targets are looked at, the nearest that can be met
 	ordinary = 2 // the first urgency that is not pressing
 )
 
@@ -107,7 +110,7 @@
 
 // before orders two waiting jobs of one level.
 func before(a, b *Wait) bool {
-	if a.Grade >= late && b.Grade >= late && a.Level() == b.Level() {
+	if a.Late && b.Late && a.Level() == b.Level() {
 		// Nothing is to be won but an early end of it all: the longest first.
 		if a.est != b.est {
 			return a.est > b.est
@@ -145,7 +148,9 @@
 // grade tells which of the waiting jobs can be in time, and sorts them. More may
 // be asked than can be done: then the fewest jobs are late if, in the order of
 // their targets, the largest is put off each time that the sum of the work
-// before a target is too much for it (Moore and Hodgson's rule).
+// before a target is too much for it (Moore and Hodgson's rule). What is put off
+// may still meet a later target, if that makes none late that is in time: once such
+// jobs stood behind all others, however much time those had.
 func (d *Divider) grade(ws []*Wait, now time.Time) {
 	room := 0.0
 	for _, m := range d.machines {
@@ -153,56 +158,38 @@
 			room += m.Cap.CPUs
 		}
 	}
-	room = max(room, 1)
-	busy, teamBusy := d.busy(now)
-	todo := append([]*Wait(nil), ws...)
-	for pass := 0; pass < late && len(todo) > 0; pass++ {
-		var on []*Wait
-		var off []*Wait
-		for _, w := range todo {
-			ts := d.targets(w, now)
-			w.Lost = len(ts) == 0 && (len(d.cfg.Targets[w.Job.Spec.Queue]) > 0 || w.Job.Spec.DueS > 0)
-			if len(ts) <= pass {
-				w.Grade, w.target = late, time.UnixMilli(w.Job.At)
-				off = append(off, w)
-				continue
-			}
-			w.Grade, w.target = pass, ts[pass]
+	s := schedule{d: d, now: now, room: max(room, 1)}
+	s.busy, s.teamBusy = d.busy(now)
+	targets := make(map[*Wait][]time.Time, len(ws))
+	var on, off []*Wait
+	for _, w := range ws {
+		ts := d.targets(w, now)
+		targets[w] = ts
+		w.Lost = len(ts) == 0 && (len(d.cfg.Targets[w.Job.Spec.Queue]) > 0 || w.Job.Spec.DueS > 0)
+		w.late(len(ts) == 0)
+		if !w.Late {
+			w.target = ts[0]
 			on = append(on, w)
 		}
-		sort.Slice(on, func(i, j int) bool { return before(on[i], on[j]) })
-		var in []*Wait
-		sum := busy
-		team := append([]float64(nil), teamBusy...)
-		for _, w := range on {
-			in = append(in, w)
-			sum += w.work
-			team[w.Team] += w.work
-			left := w.target.Sub(now).Seconds()
-			limit := max(d.Teams[w.Team].Limit.CPUs, 1)
-			for sum/room > left || team[w.Team]/limit > left {
-				all := sum/room > left
-				worst := -1
-				for i, x := range in {
-					if x.Rank == w.Rank && !x.promised && (all || x.Team == w.Team) && (worst < 0 || x.work > in[worst].work) {
-						worst = i
-					}
-				}
-				if worst < 0 {
-					break
-				}
-				x := in[worst]
-				sum -= x.work
-				team[x.Team] -= x.work
-				in = append(in[:worst], in[worst+1:]...)
-				x.Grade, x.target = late, time.UnixMilli(x.Job.At)
-				off = append(off, x)
-				if x == w {
-					break
-				}
+	}
+	sort.Slice(on, func(i, j int) bool { return before(on[i], on[j]) })
+	for _, w := range on {
+		off = append(off, s.add(w)...)
+	}
+	s.sum()
+	sort.Slice(off, func(i, j int) bool {
+		if off[i].work != off[j].work {
+			return off[i].work < off[j].work
+		}
+		return off[i].Job.Spec.UID < off[j].Job.Spec.UID
+	})
+	for next := 1; next < aims; next++ {
+		for _, w := range off {
+			if ts := targets[w]; w.Late && next < len(ts) {
+				w.Late, w.target = false, ts[next]
+				w.late(!s.insert(w))
 			}
 		}
-		busy, teamBusy, todo = sum, team, off
 	}
 	sort.Slice(ws, func(i, j int) bool {
 		if a, b := ws[i].Level(), ws[j].Level(); a != b {
@@ -212,6 +199,123 @@
 	})
 }
 
+// late puts a job off, or not.
+func (w *Wait) late(off bool) {
+	if w.Late = off; off {
+		w.target = time.UnixMilli(w.Job.At)
+	}
+}
+
+// schedule is the work that can be in time, in the order of service, with the sums of
+// all work and of its team's up to the end of each job.
+type schedule struct {
+	d        *Divider
+	now      time.Time
+	room     float64
+	busy     float64
+	teamBusy []float64
+	in       []*Wait
+	all      []float64
+	team     []float64
+}
+
+// fits tells whether work that ends at a target is in time.
+func (s *schedule) fits(w *Wait, all, team float64) (room, limit bool) {
+	left := w.target.Sub(s.now).Seconds()
+	return all/s.room <= left, team/max(s.d.Teams[w.Team].Limit.CPUs, 1) <= left
+}
+
+// add takes the next job by Moore and Hodgson's rule, and gives those that it puts off.
+func (s *schedule) add(w *Wait) (off []*Wait) {
+	s.in = append(s.in, w)
+	s.busy += w.work
+	s.teamBusy[w.Team] += w.work
+	for {
+		room, limit := s.fits(w, s.busy, s.teamBusy[w.Team])
+		if room && limit {
+			return off
+		}
+		worst := -1
+		for i, x := range s.in {
+			if x.Rank == w.Rank && !x.promised && (!room || x.Team == w.Team) && (worst < 0 || x.work > s.in[worst].work) {
+				worst = i
+			}
+		}
+		if worst < 0 {
+			return off
+		}
+		x := s.in[worst]
+		s.busy -= x.work
+		s.teamBusy[x.Team] -= x.work
+		s.in = slices.Delete(s.in, worst, worst+1)
+		x.late(true)
+		off = append(off, x)
+		if x == w {
+			return off
+		}
+	}
+}
+
+// sum works out the sums once the rule is through.
+func (s *schedule) sum() {
+	for _, w := range s.in {
+		s.busy -= w.work
+		s.teamBusy[w.Team] -= w.work
+	}
+	all, team := s.busy, slices.Clone(s.teamBusy)
+	s.all, s.team = make([]float64, len(s.in)), make([]float64, len(s.in))
+	for i, w := range s.in {
+		all += w.work
+		team[w.Team] += w.work
+		s.all[i], s.team[i] = all, team[w.Team]
+	}
+}
+
+// insert puts a job into its place if it is in time there and no other that is as
+// urgent becomes late.
+func (s *schedule) insert(w *Wait) bool {
+	at, _ := slices.BinarySearchFunc(s.in, w, func(x, w *Wait) int {
+		if before(x, w) {
+			return -1
+		}
+		return 1
+	})
+	all, team := s.busy, s.teamBusy[w.Team]
+	if at > 0 {
+		all = s.all[at-1]
+	}
+	for i := at - 1; i >= 0; i-- {
+		if s.in[i].Team == w.Team {
+			team = s.team[i]
+			break
+		}
+	}
+	all, team = all+w.work, team+w.work
+	if room, limit := s.fits(w, all, team); !room || !limit {
+		return false
+	}
+	for i := at; i < len(s.in) && s.in[i].Rank == w.Rank; i++ {
+		x, mine := s.in[i], 0.0
+		if x.Team == w.Team {
+			mine = w.work
+		}
+		wasRoom, wasLimit := s.fits(x, s.all[i], s.team[i])
+		if room, limit := s.fits(x, s.all[i]+w.work, s.team[i]+mine); wasRoom && !room || wasLimit && !limit {
+			return false
+		}
+	}
+	s.in = slices.Insert(s.in, at, w)
+	s.all = slices.Insert(s.all, at, all)
+	s.team = slices.Insert(s.team, at, team)
+	for i := at + 1; i < len(s.in); i++ {
+		s.all[i] += w.work
+		if s.in[i].Team == w.Team {
+			s.team[i] += w.work
+		}
+	}
+	return true
+}
+
 // putOff lists what has been put off for long: those that have not begun first,
 // then the oldest. The rule above puts off the largest and would do so for ever
 // under a lasting load; a part of all room goes to these, see Allot.
@@ -221,7 +325,7 @@
 	}
 	var out []*Wait
 	for _, w := range ws {
-		if w.Grade >= late && w.Age >= d.cfg.PutOff {
+		if w.Late && w.Age >= d.cfg.PutOff {
 			out = append(out, w)
 		}
 	}
