--- a/controller/fleet_day_test.go
+++ b/controller/fleet_day_test.go
@@ -28,9 +28,9 @@
 // other. No rule is broken, and most of the fleet is at work again soon after each.
 func TestEighteenHundredMachines(t *testing.T) {
 	playIn(t, many, func(t *testing.T, d *day) {
-		d.cloud.RunFor = func(piece string) time.Duration { return time.Duration(60+len(piece)) * time.Second }
+		d.cloud.RunFor = func(piece string) time.Duration { return time.Duration(130+len(piece)) * time.Second }
 		jobs := map[string]int{}
-		for i := range 12 {
+		for i := range 14 {
 			uid, team := fmt.Sprintf("wk-%d", i+1), []string{"red", "blue"}[i%2]
 			jobs[uid] = 700
 			d.submit(spec(uid, team, 700))
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -306,7 +306,7 @@
 const spread = 4
 
 // drainPart is the part of the fleet that may drain at a time: one machine at least.
-const drainPart = 0.04
+const drainPart = 0.08
 
 // shrink picks machines to drain when nothing waits and the others have room for
 // all that they run, with some to spare. What saves its progress is moved; the
