Letters of a whole digest go in several transactions

Cause: the first call of an owner of 600 machines is 61 KB of letters, and all letters of a call had to fit one transaction. Conclusion: a call may take as many transactions as it needs; only a whole one counts.

--- a/controller/relay.go
+++ b/controller/relay.go
@@ -20,7 +20,7 @@
 
 const (
 	directAgain  = 2 * time.Second        // a call that failed is tried directly again after this
-	answerWithin = 3 * time.Second        // an answer by letter comes within this, or the call is made anew
+	answerWithin = 4 * time.Second        // an answer by letter comes within this, or the call is made anew
 	answerLook   = 300 * time.Millisecond // a view that is over holds the next one's first call up no longer
 	listenFor    = 10 * time.Second       // one watch for calls
 	relayed      = 0.1                    // of the changes may be letters
@@ -33,25 +33,38 @@
 	return max(syncEvery, time.Duration(2*callers/(relayed*c.set.Facts.State.WriteRPS)*float64(time.Second)))
 }
 
-// post writes letters, all of them or none, as long as their view holds.
-func (c *Controller) post(ctx context.Context, view roster.View, prefix string, letters []peer.Letter) (uint64, error) {
-	if len(letters) > c.store.TxnOps() {
-		return 0, errors.New("too much for the state service")
-	}
-	m := protocol.Multi{Guards: []protocol.Guard{{Key: roster.ViewKey, Stamp: view.Stamp}}}
-	for _, l := range letters {
-		raw, err := protocol.Marshal(l)
+// mailBytes bounds a transaction of letters well below the 64 KiB of a request.
+const mailBytes = 48 << 10
+
+// post writes letters as long as their view holds, by as many transactions as they
+// need. Only a call or an answer that is whole counts, in whatever order it came.
+func (c *Controller) post(ctx context.Context, view roster.View, prefix string, letters []peer.Letter) (first uint64, err error) {
+	for len(letters) > 0 {
+		m := protocol.Multi{Guards: []protocol.Guard{{Key: roster.ViewKey, Stamp: view.Stamp}}}
+		size := 0
+		for len(letters) > 0 && len(m.Then) < c.store.TxnOps() && (size == 0 || size+len(letters[0].Text) < mailBytes) {
+			l := letters[0]
+			raw, err := protocol.Marshal(l)
+			if err != nil {
+				return 0, err
+			}
+			m.Then = append(m.Then, protocol.Change{Set: peer.LetterKey(prefix, l.Caller, l.K), Data: raw})
+			size += len(l.Text)
+			letters = letters[1:]
+		}
+		epoch, err := c.store.Multi(ctx, state.Part, m)
+		var conflict *state.Conflict
+		if errors.As(err, &conflict) {
+			c.roster.Higher(view.Number + 1)
+		}
 		if err != nil {
 			return 0, err
 		}
-		m.Then = append(m.Then, protocol.Change{Set: peer.LetterKey(prefix, l.Caller, l.K), Data: raw})
-	}
-	epoch, err := c.store.Multi(ctx, state.Part, m)
-	var conflict *state.Conflict
-	if errors.As(err, &conflict) {
-		c.roster.Higher(view.Number + 1)
+		if first == 0 {
+			first = epoch
+		}
 	}
-	return epoch, err
+	return first, nil
 }
 
 // syncByLetter makes an owner's call through the state service.
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -39,16 +39,17 @@
 }
 
 // letterRoom is what a letter takes beside its text, in its JSON form, and maxText
-// what all letters of a call may hold: they go in one transaction.
+// what all letters of a call may hold: an owner's first one in a view is whole, about
+// 100 KiB for a thousand machines.
 const (
 	letterRoom = 120
-	maxText    = 56 << 10
+	maxText    = 512 << 10
 )
 
 // Pack makes letters of at most so many bytes each.
 func Pack(body any, view uint64, caller int, n uint64, most int) ([]Letter, error) {
 	var raw bytes.Buffer
-	z, err := flate.NewWriter(&raw, flate.BestSpeed)
+	z, err := flate.NewWriter(&raw, flate.DefaultCompression)
 	if err != nil {
 		return nil, err
 	}
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -1,11 +1,14 @@
 package peer
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"junipershelf/job"
 	"junipershelf/part"
 )
 
@@ -43,3 +46,29 @@
 		}
 	})
 }
+
+// An owner's first call in a view is whole: that of a third of 1,800 machines, each with
+// eight tasks of four jobs, must go by letter as well.
+func TestWholeDigestFitsLetters(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	q := Sync{View: 9, Index: 2, Digest: part.Digest{N: 1, Ver: 1}}
+	for i := range 600 {
+		s := part.State{ID: fmt.Sprintf("i-%06d", 3*i), Flavor: "octa-box", Zone: "ruwi-rack", Spot: true, Room: job.Need{Mem: 12.3}, Usable: true, Heard: true, IdleS: -1}
+		for range 4 {
+			s.Images = append(s.Images, fmt.Sprintf("img-%02d", rng.IntN(24)))
+			var r job.Ranges
+			r.Add(rng.IntN(400))
+			r.Add(rng.IntN(400))
+			s.Held = append(s.Held, part.Held{Job: fmt.Sprintf("wk-%06d", rng.IntN(400)), Team: "routing", Need: job.Need{CPUs: 1, Mem: 5.9}, Tasks: r, Phase: part.Running, ForS: rng.Float64() * 40})
+		}
+		q.Digest.Machines = append(q.Digest.Machines, s)
+	}
+	letters, err := Pack(q, 9, 2, 1, 8<<10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(letters) > 16 {
+		t.Errorf("%d letters", len(letters))
+	}
+	t.Logf("%d letters, %d bytes in the last", len(letters), len(letters[len(letters)-1].Text))
+}
