--- a/part/bench_test.go
+++ b/part/bench_test.go
@@ -59,3 +59,61 @@
 		}
 	}
 }
+
+// filled is the record of a shard with 24 machines of eight tasks each.
+func filled() *Record {
+	w := newWriter()
+	for i := range 24 {
+		m := &Machine{ID: fmt.Sprintf("i-%06d", 42*i), Flavor: "octa-box", Zone: "z", Spot: true, shift: 1, tick: uint64(100 + i)}
+		var row []*Placement
+		for k := range 8 {
+			row = append(row, &Placement{Task: job.Task{Job: fmt.Sprintf("wk-%06d", 1000+(8*i+k)%40), Index: 8*i + k}, Try: uint64(5<<28 + i%9), Session: 1,
+				Need: job.Need{CPUs: 1, Mem: 6}, Team: "red"})
+		}
+		w.machine(m, row)
+	}
+	return w.record()
+}
+
+// BenchmarkRecord is the coding of a shard's record: made, measured and written.
+func BenchmarkRecord(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		rec := filled()
+		if rec.Size() > 16<<10 {
+			b.Fatal("too large")
+		}
+		if _, err := protocol.Marshal(rec); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkTakeover is an owner that reads the records of 1,000 machines at the start of
+// a view.
+func BenchmarkTakeover(b *testing.B) {
+	raw, err := protocol.Marshal(filled())
+	if err != nil {
+		b.Fatal(err)
+	}
+	m := job.NewMirror(map[string]int{"red": 0})
+	b.ReportAllocs()
+	for b.Loop() {
+		p := New(testConfig, 6, 0, t0, func(string) (job.Need, bool) { return job.Need{CPUs: 8, Mem: 64}, true }, m)
+		for n := range 42 {
+			var rec Record
+			if err := protocol.Unmarshal(raw, &rec); err != nil {
+				b.Fatal(err)
+			}
+			for i := range rec.Machines {
+				rec.Machines[i].ID = fmt.Sprintf("i-%06d", 42*i+n)
+			}
+			if err := p.Load(ShardKey(n, 0), rec, 1, t0); err != nil {
+				b.Fatal(err)
+			}
+		}
+		if machines, tasks, _ := p.Busy(); machines != 24*42 || tasks != 8*24*42 {
+			b.Fatalf("%d machines, %d tasks", machines, tasks)
+		}
+	}
+}
