Authority rests on the ends told to users as well as on the view

Also: a late join of an earlier run is guarded now. TestAuthority looks at the view's part of the evidence alone, so it takes the jobs' as given: the rule that both count is new, and TestEvidenceIsTheOlderKnowledge holds it.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -69,6 +69,10 @@
 
 	polls chan *poll
 	admit *budgets
+
+	ends  endLog           // what this node has told users
+	links map[string]*link // and what it knows of the others' logs
+	tells chan chan struct{}
 }
 
 // work is what the log tells every ten seconds of the budgets.
@@ -99,12 +103,14 @@
 		flavors: map[string]protocol.Flavor{}, finals: map[string]job.Ended{}, running: map[string]int{},
 		dirty: make(chan struct{}, 1), settled: make(chan struct{}),
 		loaded: make(chan struct{}), peerUp: map[string]peerState{}, strays: map[string]time.Time{}, said: map[string]int{},
-		polls: make(chan *poll, maxPolls), admit: newBudgets(f.State)}
+		polls: make(chan *poll, maxPolls), admit: newBudgets(f.State), ends: endLog{run: newRun()}, links: map[string]*link{},
+		tells: make(chan chan struct{}, maxPolls)}
 	for i, t := range f.Teams {
 		c.teams[t.Name] = i
 	}
 	for _, p := range set.Known {
 		c.peers[p.NodeName] = peer.NewClient(nw.Dial, p.Addr)
+		c.links[p.NodeName] = &link{}
 	}
 	c.mirror = job.NewMirror(c.teams)
 	names := []string{set.NodeName}
@@ -119,10 +125,15 @@
 	// Steady clocks drift apart by up to 0.05% each way; half a second covers
 	// timers that fire late.
 	c.lease = settings.Seconds(l*1.002 + 0.5)
+	authority, ok := roster.AuthorityFor(settings.Seconds(l*pol.AuthorityPart), c.lease, settings.Seconds(f.Workers.CancelS))
+	if !ok {
+		log.Warn("cancel_s is too short for the lease: a job may outlive its cancellation when controllers are cut off",
+			"cancel_s", f.Workers.CancelS, "lease_s", l)
+	}
 	c.roster = roster.New(set.NodeName, c.store, roster.Times{
 		Nodes: names, Parts: roster.PartsFor(f.State.WriteRPS, len(names)),
 		Life:      settings.Seconds(max(l*pol.GrantPart, 1)),
-		Authority: settings.Seconds(l * pol.AuthorityPart),
+		Authority: authority,
 		Every:     500 * time.Millisecond,
 	}, log)
 	c.plan = c.newPlanner()
@@ -168,7 +179,7 @@
 		g.Go(func() error { <-ctx.Done(); return srv.Close() })
 	}
 	for _, loop := range []func(context.Context){c.roster.Run, c.viewLoop, c.mirrorLoop, c.tickLoop, c.commitLoop, c.mergeLoop,
-		c.syncLoop, c.relayLoop, c.divideLoop, c.returnLoop, c.flavorLoop, c.listLoop, c.pingLoop, c.pollLoop} {
+		c.syncLoop, c.relayLoop, c.divideLoop, c.returnLoop, c.flavorLoop, c.listLoop, c.pingLoop, c.tellLoop, c.pollLoop} {
 		g.Go(func() error { loop(ctx); return ctx.Err() })
 	}
 	return g.Wait()
@@ -401,10 +412,16 @@
 			c.mirror.Drop(uid, now)
 		}
 	}
-	c.mirror.Refreshed(sent)
+	c.refreshed(sent)
 	return epoch, nil
 }
 
+// refreshed notes that the mirror shows all that stood in the state service at a time.
+func (c *Controller) refreshed(at time.Time) {
+	c.mirror.Refreshed(at)
+	c.roster.Informed(at)
+}
+
 func (c *Controller) takeJob(uid string, data []byte, stamp uint64, now time.Time) {
 	var rec job.Record
 	err := protocol.Unmarshal(data, &rec)
@@ -446,7 +463,7 @@
 				c.mirror.Drop(n.Delete[len(job.Key("")):], now)
 			}
 		}
-		c.mirror.Refreshed(sent)
+		c.refreshed(sent)
 		c.mu.Unlock()
 		epoch = max(epoch, r.Epoch)
 		// Changes come in bunches: one answer for many costs less.
--- a/controller/day_test.go
+++ b/controller/day_test.go
@@ -22,6 +22,7 @@
 	"junipershelf/internal/standin"
 	"junipershelf/policy"
 	"junipershelf/protocol"
+	"junipershelf/roster"
 	"junipershelf/settings"
 )
 
@@ -227,6 +228,60 @@
 	return 0, protocol.JobStatus{}
 }
 
+// at asks one node once; the code is 0 without an answer.
+func (d *day) at(node, method, path string, body any) (int, protocol.JobStatus) {
+	cl := &http.Client{Transport: &http.Transport{DialContext: d.net.Dialer("user")}, Timeout: 5 * time.Second}
+	defer cl.CloseIdleConnections()
+	raw, err := protocol.Marshal(body)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	req, _ := http.NewRequest(method, "http://"+node+":8080"+path, bytes.NewReader(raw))
+	resp, err := cl.Do(req)
+	if err != nil {
+		return 0, protocol.JobStatus{}
+	}
+	defer resp.Body.Close()
+	out, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode == 503 && resp.Header.Get("Retry-After") == "" {
+		d.t.Errorf("%s %s at %s: 503 without Retry-After", method, path, node)
+	}
+	var s protocol.JobStatus
+	_ = protocol.Unmarshal(out, &s)
+	return resp.StatusCode, s
+}
+
+// leader names the divider by the view in the state service, and others the rest.
+func (d *day) leader() (leader string, others []string) {
+	d.t.Helper()
+	var v roster.View
+	if !d.store.Read(roster.ViewKey, &v) || len(v.Members) == 0 {
+		d.t.Fatal("there is no view")
+	}
+	leader = v.Members[0].Node
+	for _, n := range d.nodes {
+		if n != leader {
+			others = append(others, n)
+		}
+	}
+	return leader, others
+}
+
+// cancel calls a job off at a node and notes when its user was told.
+func (d *day) cancel(node, uid string) {
+	d.t.Helper()
+	for range 30 {
+		if code, s := d.at(node, "POST", "/api/jobs/"+uid+"/cancel", map[string]any{}); code == 200 {
+			if s.Status == "cancelled" {
+				d.cloud.Cancelled(uid)
+			}
+			return
+		}
+		time.Sleep(time.Second)
+	}
+	d.t.Fatalf("%s does not take the cancellation of %s", node, uid)
+}
+
 func spec(uid, team string, pieces int) map[string]any {
 	return map[string]any{"uid": uid, "queue": "q-" + team, "owner": team, "shape": "array", "urgency": "normal", "pieces": pieces,
 		"cpus": 1.0, "accelerators": 0.0, "mem_gb": 2.0, "bundle": "img-" + team, "size_gb": 1.0, "flavors": nil, "yard": nil,
--- /dev/null
+++ b/controller/ends_test.go
@@ -0,0 +1,90 @@
+package controller
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"junipershelf/peer"
+)
+
+// Whatever is lost, late, dropped from a full log or forgotten by a restart: a node that
+// holds a peer's ends for known knows each one that the peer has told anybody, in this
+// run or an earlier one, before it answered. The plain model is the set of all ends.
+func TestEndsAreKnownWhenTheySaySo(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var clock time.Duration
+		at := func() time.Time { clock += time.Millisecond; return time.Unix(0, int64(clock)) }
+		stored := map[string]bool{} // what stands in the state service
+		known := map[string]bool{}  // at the asker
+		log, l := &endLog{run: 1}, &link{}
+		toLog := map[string]bool{}
+		var fresh time.Time
+		var late []peer.Ping
+		n, sure := 0, 0
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"end", "many", "ping", "lost", "late", "refresh", "restart"}).Draw(t, "op") {
+			case "end":
+				n++
+				uid := fmt.Sprint("wk-", n)
+				stored[uid], toLog[uid] = true, true
+				log.add(peer.End{UID: uid})
+			case "many":
+				for range rapid.IntRange(1, maxEnds).Draw(t, "n") {
+					n++
+					uid := fmt.Sprint("wk-", n)
+					stored[uid], toLog[uid] = true, true
+					log.add(peer.End{UID: uid})
+				}
+			case "refresh": // the mirror catches up by a read sent now
+				fresh = at()
+				maps.Copy(known, stored)
+			case "restart":
+				*log = endLog{run: log.run + 1}
+			case "late":
+				if len(late) > 0 {
+					l.take(&late[0], at(), fresh, func(e peer.End) { known[e.UID] = true })
+					late = late[1:]
+				}
+			case "ping", "lost":
+				a := peer.Ping{Run: log.run, Head: log.head()}
+				a.From, a.Ends = log.after(l.run, l.have)
+				if rapid.Bool().Draw(t, "later") {
+					late = append(late, a)
+					continue
+				}
+				if !l.take(&a, at(), fresh, func(e peer.End) { known[e.UID] = true }) {
+					continue
+				}
+				sure++
+				for uid := range toLog {
+					if !known[uid] {
+						t.Fatalf("%s was told, and is not known", uid)
+					}
+				}
+			}
+		}
+		// Once nothing changes any more a refresh and two pings settle it.
+		for range 2 + maxEnds/maxTold {
+			a := peer.Ping{Run: log.run, Head: log.head()}
+			a.From, a.Ends = log.after(l.run, l.have)
+			if l.take(&a, at(), fresh, func(e peer.End) { known[e.UID] = true }) {
+				return
+			}
+			fresh = at()
+			maps.Copy(known, stored)
+		}
+		t.Fatal("never caught up")
+	})
+}
+
+// A version that tells no ends attests nothing that concerns them.
+func TestPeerWithoutEnds(t *testing.T) {
+	var l link
+	if l.take(&peer.Ping{Node: "b", View: 7}, time.Unix(1, 0), time.Unix(2, 0), func(peer.End) { t.Error("an end") }) {
+		t.Error("its ends are held for known")
+	}
+}
--- a/controller/front.go
+++ b/controller/front.go
@@ -73,11 +73,21 @@
 func (c *Controller) remember(uid string, e job.Ended) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.keepFinal(uid, e)
+}
+
+func (c *Controller) keepFinal(uid string, e job.Ended) {
+	if _, known := c.finals[uid]; known {
+		return
+	}
 	if len(c.finals) > 50000 {
 		clear(c.finals)
 	}
 	c.finals[uid] = e
 	c.mirror.Drop(uid, time.Now())
+	if e.Status == job.Cancelled {
+		c.ends.add(peer.End{UID: uid, Done: e.Done})
+	}
 }
 
 func (c *Controller) status(uid string, live *job.Record, final *job.Ended) protocol.JobStatus {
@@ -277,6 +287,7 @@
 			return busy
 		}
 		c.remember(uid, end)
+		c.tellEnds(ctx)
 		return front.Answer{Code: 200, Body: protocol.JobStatus{UID: uid, Status: job.Cancelled}}
 	}
 	return busy
--- a/controller/loops.go
+++ b/controller/loops.go
@@ -392,61 +392,6 @@
 	}
 }
 
-// pingLoop learns how the others stand. When all of them answer that they have
-// seen no later view, this node keeps its authority although the state service
-// may be down: nobody else can have taken its machines.
-func (c *Controller) pingLoop(ctx context.Context) {
-	for sleep(ctx, time.Second) {
-		go func() {
-			asked, view := time.Now(), c.standing().View
-			answers := make(chan bool, len(c.peers))
-			for name, cl := range c.peers {
-				go func() {
-					a, err := cl.Ping(ctx, c.standing())
-					if err == nil {
-						c.heardOf(a)
-					} else {
-						c.log.Debug("ping failed", "peer", name, "err", err)
-					}
-					answers <- err == nil && attests(a, name, view)
-				}()
-			}
-			all := len(c.peers) > 0
-			for range c.peers {
-				all = <-answers && all
-			}
-			if all && view > 0 {
-				c.roster.Attested(view, asked)
-			}
-		}()
-	}
-}
-
-// attests tells whether a node's answer says that nobody can have gone beyond a
-// view. One that has not read a view since its start cannot know what it saw
-// before: its word is worth nothing.
-func attests(a peer.Ping, node string, view uint64) bool {
-	return a.Node == node && view > 0 && a.View == view
-}
-
-func (c *Controller) standing() peer.Ping {
-	view, _, _ := c.roster.Now()
-	return peer.Ping{Node: c.set.NodeName, View: view.Number, StateMS: c.store.Silence().Milliseconds()}
-}
-
-func (c *Controller) heardOf(a peer.Ping) {
-	c.mu.Lock()
-	c.peerUp[a.Node] = peerState{at: time.Now(), stateMS: a.StateMS}
-	c.mu.Unlock()
-	c.roster.Higher(a.View)
-}
-
-// Ping serves another node's question.
-func (c *Controller) Ping(q peer.Ping) peer.Ping {
-	c.heardOf(q)
-	return c.standing()
-}
-
 // Show describes the running node to an operator.
 func (c *Controller) Show() any {
 	c.mu.Lock()
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -61,6 +61,9 @@
 	Results map[string]int
 	Faults  []string
 	Starts  int
+	// StartsAfterCancel counts tasks that began to run after their job's user had
+	// been told that it is cancelled.
+	StartsAfterCancel int
 }
 
 // NewCloud makes a cloud whose workers report to nodes.
@@ -80,11 +83,22 @@
 	c.specs[s.UID] = s
 }
 
-// Cancelled notes when a user was told so.
+// Cancelled notes when a user was told so. All tasks of the job must be gone in time.
 func (c *Cloud) Cancelled(uid string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if _, again := c.gone[uid]; again {
+		return
+	}
 	c.gone[uid] = time.Now()
+	time.AfterFunc(c.rules.Cancel, func() {
+		if c.ctx.Err() != nil {
+			return
+		}
+		if n := c.Active(uid); n > 0 {
+			c.Lock(func() { c.fault("ran_cancelled: %d tasks of %s are left", n, uid) })
+		}
+	})
 }
 
 // Lock runs f while nothing else changes.
@@ -533,8 +547,11 @@
 		s.Scatter && here > (s.Pieces+1)/2 {
 		c.fault("wrong_place: %s on %s", r.piece, w.id)
 	}
-	if at, ok := c.gone[s.UID]; ok && time.Since(at) > c.rules.Cancel {
-		c.fault("ran_cancelled: %s", r.piece)
+	if at, ok := c.gone[s.UID]; ok {
+		c.StartsAfterCancel++
+		if time.Since(at) > c.rules.Cancel {
+			c.fault("ran_cancelled: %s", r.piece)
+		}
 	}
 }
 
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -36,7 +36,8 @@
 	outage  func(from string) bool
 	mute    func() bool // carried out, but the answer is lost
 	again   func() bool // carried out once more a second later
-	TooBig  int         // values over the limit, which must stay 0
+	late    func() (time.Duration, bool)
+	TooBig  int // values over the limit, which must stay 0
 	maxSize int
 
 	requests, changes *rate.Limiter // nil: no limit
@@ -79,6 +80,14 @@
 	s.mute, s.again = mute, again
 }
 
+// Late sets which transactions get no answer and are carried out so much later, after
+// newer ones.
+func (s *Store) Late(late func() (time.Duration, bool)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late = late
+}
+
 // Has tells whether a key exists.
 func (s *Store) Has(key string) bool {
 	s.mu.Lock()
@@ -270,6 +279,19 @@
 			reply(w, 429, protocol.Problem{Error: "busy"})
 			return
 		}
+		if s.late != nil && len(m.Then) > 0 {
+			if after, ok := s.late(); ok {
+				s.mu.Unlock()
+				time.AfterFunc(after, func() {
+					s.mu.Lock()
+					defer s.mu.Unlock()
+					s.multi(&m)
+				})
+				// The caller waits in vain.
+				<-r.Context().Done()
+				return
+			}
+		}
 		code, out := s.multi(&m)
 		mute := s.mute != nil && s.mute()
 		if s.again != nil && s.again() {
--- a/part/part.go
+++ b/part/part.go
@@ -508,7 +508,9 @@
 	mirrorOK := now.Sub(p.jobs.Fresh()) < p.cfg.Stale
 	for _, pl := range m.runs {
 		l := p.jobs.Get(pl.Task.Job)
-		if l == nil && mirrorOK {
+		// An end that is known stays true however old the mirror is, and what was
+		// inherited without its job was over when the view began.
+		if l == nil && (mirrorOK || pl.inherited || p.jobs.Over(pl.Task.Job)) {
 			pl.stop, pl.grace = true, 0
 		}
 		switch {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -48,11 +48,29 @@
 	Hungry    bool // work waits that could be placed
 }
 
-// Ping tells how a node stands; both sides give theirs.
+// Ping tells how a node stands; both sides give theirs. A version that knows nothing of
+// ends leaves the fields from Run on out, and Run is 0 then.
 type Ping struct {
 	Node    string `msgpack:"n"`
 	View    uint64 `msgpack:"v"`
 	StateMS int64  `msgpack:"s"` // since the state service last answered it
+
+	// Run names the process. Its log of ends has Head entries; Ends are those after the
+	// first From, up to Head or as many as fit.
+	Run  uint64 `msgpack:"r,omitempty"`
+	Head uint64 `msgpack:"h,omitempty"`
+	From uint64 `msgpack:"f,omitempty"`
+	Ends []End  `msgpack:"e,omitempty"`
+
+	// Of the other side's log, in its run KnownRun, the sender has Known entries.
+	KnownRun uint64 `msgpack:"kr,omitempty"`
+	Known    uint64 `msgpack:"k,omitempty"`
+}
+
+// End is a job that a node may have told a user to be cancelled.
+type End struct {
+	UID  string `msgpack:"u"`
+	Done int    `msgpack:"d,omitempty"`
 }
 
 // Forward passes on a worker's report for a node that the worker cannot reach.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -159,7 +159,7 @@
 	Parts int
 
 	Life      time.Duration // of the grant
-	Authority time.Duration // after the last confirmation
+	Authority time.Duration // after the evidence that it rests on
 	Every     time.Duration // between confirmations
 }
 
@@ -175,7 +175,9 @@
 	me        Member
 	view      View
 	seen      time.Time // when this view was first seen
-	confirmed time.Time // when the last good confirmation was sent
+	confirmed time.Time // when the last good reading of the view was sent
+	informed  time.Time // all ends of jobs from before this are known, as the state service shows them
+	attested  time.Time // when all other nodes were asked that vouched for the view and told their ends
 	higher    uint64    // a view number that a peer has seen
 	changed   chan struct{}
 	touched   time.Time
@@ -201,30 +203,58 @@
 	return r.view, r.me, r.seen
 }
 
-// Holds tells whether this node may act for a view: it is a member, and its
-// last confirmation is younger than the authority time.
+// AuthorityFor is how long authority may last after the evidence that it rests on. A job
+// whose end was confirmed just after that may run on for this time and a lease, which
+// together must stay below what a cancellation has, with a margin for drift and for
+// answers under way. Ok is false where the times leave no room for that.
+func AuthorityFor(wanted, lease, cancel time.Duration) (d time.Duration, ok bool) {
+	const least, margin = time.Second, 2 * time.Second
+	d = min(wanted, cancel-lease-margin)
+	return max(d, least), d >= least
+}
+
+// Holds tells whether this node may act for a view: it is a member, and the evidence
+// for its authority is younger than the authority time.
 func (r *Roster) Holds(number uint64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.view.Number == number && r.higher <= number && r.view.Index(r.me) >= 0 &&
-		time.Since(r.confirmed) < r.times.Authority
+		time.Since(r.evidence()) < r.times.Authority
+}
+
+// evidence is the time up to which this node knows both that its view is the last one
+// and which jobs users were told to be over. To know the view alone is not enough: a
+// leader that only the state service refused was once vouched for by its peers through
+// an outage, and let jobs run on that one of them had confirmed as cancelled.
+func (r *Roster) evidence() time.Time {
+	at := r.confirmed
+	if r.informed.Before(at) {
+		at = r.informed
+	}
+	if r.attested.After(at) {
+		at = r.attested
+	}
+	return at
 }
 
-// Confirmed is when the view was last confirmed.
-func (r *Roster) Confirmed() time.Time {
+// Informed notes that all ends of jobs that stood in the state service at a time are known.
+func (r *Roster) Informed(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.confirmed
+	if at.After(r.informed) {
+		r.informed = at
+	}
 }
 
 // Attested takes that every other node, asked at a time or later, had seen no view
-// beyond this one. That is worth as much as a confirmation by the state service:
-// what a later view's owners wait for (invariant 3) counts from when they see it.
+// beyond this one, and that all ends of jobs that any of them had told a user are known
+// here. That is worth as much as a confirmation by the state service: what a later
+// view's owners wait for (invariant 3) counts from when they see it.
 func (r *Roster) Attested(number uint64, asked time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if number == r.view.Number && asked.After(r.confirmed) {
-		r.confirmed = asked
+	if number == r.view.Number && asked.After(r.attested) {
+		r.attested = asked
 	}
 }
 
@@ -360,8 +390,15 @@
 	if err != nil {
 		return Member{}, err
 	}
+	// Guarded on what stands there now: the late write of an earlier run, whose grant
+	// may still live, must not take the place of this one.
+	old, err := r.store.Get(ctx, state.Roster, memberKey+r.node)
+	if err != nil {
+		return Member{}, err
+	}
 	if _, err := r.store.Multi(ctx, state.Roster, protocol.Multi{
-		Then: []protocol.Change{{Set: memberKey + r.node, Data: data, Permit: permit}},
+		Guards: []protocol.Guard{{Key: memberKey + r.node, Stamp: old.Stamp}},
+		Then:   []protocol.Change{{Set: memberKey + r.node, Data: data, Permit: permit}},
 	}); err != nil {
 		return Member{}, err
 	}
@@ -381,7 +418,7 @@
 	}
 	if v.Number > r.view.Number {
 		v.By = v.Owners()
-		r.view, r.seen = v, time.Now()
+		r.view, r.seen, r.attested = v, time.Now(), time.Time{}
 		names := make([]string, len(v.Members))
 		for i, m := range v.Members {
 			names[i] = m.Node
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -87,6 +87,9 @@
 		node := func(name string) *Roster {
 			lim := settings.StateLimits{RPS: 100, WriteRPS: 20, ValueKB: 8, TxnOps: 16}
 			r := New(name, state.New(net.Dialer(name), "state:1", lim), Times{Nodes: []string{"a", "b"}, Parts: 6, Life: 3 * time.Second, Authority: 6 * time.Second, Every: 500 * time.Millisecond}, slog.New(slog.DiscardHandler))
+			// The view alone is looked at here; what the jobs add to it is tested in
+			// TestEvidenceIsTheOlderKnowledge.
+			r.Informed(time.Now().Add(time.Hour))
 			go r.Run(ctx)
 			return r
 		}
@@ -132,3 +135,96 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// Authority rests on knowing the view and the ends of jobs as of the same time: the older
+// of the two counts, or what all other nodes vouch for in this view.
+func TestEvidenceIsTheOlderKnowledge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New("a", nil, Times{Authority: 6 * time.Second}, slog.New(slog.DiscardHandler))
+		r.me = Member{"a", 1}
+		start := time.Now()
+		v := View{Number: 3, Members: []Member{{"a", 1}, {"b", 2}}, Parts: 2}
+		r.take(v, start)
+		if r.Holds(3) {
+			t.Error("authority without a look at the jobs")
+		}
+		r.Informed(start)
+		if !r.Holds(3) {
+			t.Error("no authority with both")
+		}
+		time.Sleep(5 * time.Second)
+		r.take(v, time.Now())
+		time.Sleep(2 * time.Second)
+		if r.Holds(3) {
+			t.Error("the view was read, the jobs were not: a cancellation may be unknown")
+		}
+		r.Informed(time.Now())
+		if !r.Holds(3) {
+			t.Error("no authority though both are known as of 2 s ago")
+		}
+		time.Sleep(10 * time.Second)
+		r.Attested(2, time.Now())
+		if r.Holds(3) {
+			t.Error("the word for another view counts")
+		}
+		r.Attested(3, time.Now())
+		if !r.Holds(3) {
+			t.Error("the word of all peers does not count")
+		}
+		v.Number = 4
+		r.take(v, start)
+		if r.Holds(4) {
+			t.Error("what was vouched for in an older view counts in the next")
+		}
+	})
+}
+
+// Authority and a lease stay below what a cancellation has, whatever the settings.
+func TestAuthorityFitsCancellations(t *testing.T) {
+	for _, c := range []struct {
+		wanted, lease, cancel, want float64
+		ok                          bool
+	}{
+		{6, 10.5, 30, 6, true}, {15.9, 27, 51.5, 15.9, true}, {12, 20, 25, 3, true}, {12, 20, 21, 1, false},
+	} {
+		sec := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+		if d, ok := AuthorityFor(sec(c.wanted), sec(c.lease), sec(c.cancel)); d != sec(c.want) || ok != c.ok {
+			t.Errorf("%+v: %v %v", c, d, ok)
+		}
+	}
+}
+
+// An earlier run's write that arrives late, while its grant still lives, does not take
+// the name back: it is guarded on what stood there.
+func TestLateJoinOfAnEarlierRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		nw, store := standin.NewNet(), standin.NewStore(8192)
+		if err := store.Serve(ctx, nw, "state:2379"); err != nil {
+			t.Fatal(err)
+		}
+		late := true
+		store.Late(func() (time.Duration, bool) { was := late; late = false; return 3 * time.Second, was })
+		client := func(node string) *state.Client {
+			return state.New(nw.Dialer(node), "state:2379", settings.StateLimits{RPS: 100, WriteRPS: 100, ValueKB: 8, TxnOps: 16})
+		}
+		times := Times{Life: 8 * time.Second, Authority: 6 * time.Second, Every: 500 * time.Millisecond, Parts: 3}
+		first := New("a", client("a"), times, slog.New(slog.DiscardHandler))
+		if _, err := first.join(ctx); err == nil {
+			t.Error("the first run's join was answered")
+		}
+		second := New("a", client("a"), times, slog.New(slog.DiscardHandler))
+		me, err := second.join(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(4 * time.Second)
+		var there Member
+		if !store.Read(memberKey+"a", &there) || there != me {
+			t.Errorf("%+v stands there, not %+v", there, me)
+		}
+		stop()
+		nw.Crash("a")
+		time.Sleep(5 * time.Second)
+	})
+}
