--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -57,6 +57,8 @@
 	Dud     func(id string) bool
 	Deaf    map[string]bool              // machines that no answer reaches
 	Copies  func() (time.Duration, bool) // whether a copy of a report comes so much later
+	Keep    bool                         // copies of reports are kept for Resend
+	kept    map[string][]byte            // the first one of each machine since then
 	Down    bool
 	Results map[string]int
 	Faults  []string
@@ -70,7 +72,7 @@
 func NewCloud(ctx context.Context, n *Net, seed uint64, rules Rules, flavors []protocol.Flavor) *Cloud {
 	return &Cloud{net: n, rng: rand.New(rand.NewPCG(seed, 1)), rules: rules, Nodes: map[string]string{}, Flavors: flavors,
 		Room: map[string]int{}, ctx: ctx, hires: map[string][]string{}, workers: map[string]*worker{},
-		specs: map[string]*protocol.Spec{}, gone: map[string]time.Time{}, Results: map[string]int{},
+		kept: map[string][]byte{}, specs: map[string]*protocol.Spec{}, gone: map[string]time.Time{}, Results: map[string]int{},
 		Sick: map[string]bool{}, Broken: map[string]bool{}, Deaf: map[string]bool{},
 		on:     tally{pieces: map[string]int{}, teams: map[string]float64{}, zones: map[[2]string]int{}, jobs: map[string]int{}},
 		RunFor: func(string) time.Duration { return 5 * time.Second }}
@@ -315,6 +317,20 @@
 	}
 }
 
+// Resend sends the reports that were kept to nodes, and forgets them.
+func (c *Cloud) Resend(nodes ...string) {
+	c.mu.Lock()
+	kept := c.kept
+	c.kept, c.Keep = map[string][]byte{}, false
+	c.mu.Unlock()
+	for id, raw := range kept {
+		for _, n := range nodes {
+			w := &worker{c: c, id: id}
+			go w.copy(raw, n, 0)
+		}
+	}
+}
+
 func (w *worker) live(ctx context.Context, boot time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -364,6 +380,9 @@
 				go w.copy(raw, names[int(late)%len(names)], late)
 			}
 		}
+		if w.c.Keep && w.c.kept[w.id] == nil {
+			w.c.kept[w.id] = raw
+		}
 		w.c.mu.Unlock()
 		if err != nil {
 			panic(err)
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -17,11 +17,12 @@
 	listeners map[string]*listener
 	conns     map[*pipe]bool
 	cut       func(from, to string) bool
+	delay     time.Duration
 }
 
 // NewNet makes an empty network.
 func NewNet() *Net {
-	return &Net{listeners: map[string]*listener{}, conns: map[*pipe]bool{}}
+	return &Net{listeners: map[string]*listener{}, conns: map[*pipe]bool{}, delay: time.Millisecond}
 }
 
 // Cut says which directions are silent from now on; nil heals the network.
@@ -31,6 +32,19 @@
 	n.cut = f
 }
 
+// Slow sets how long each message takes.
+func (n *Net) Slow(delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay = delay
+}
+
+func (n *Net) wait() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.delay
+}
+
 func (n *Net) isCut(from, to string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -177,7 +191,7 @@
 					return
 				}
 			}
-			time.Sleep(time.Millisecond)
+			time.Sleep(p.net.wait())
 			if _, err := p.Conn.Write(b); err != nil {
 				p.Close()
 				return
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -37,6 +37,7 @@
 	mute    func() bool // carried out, but the answer is lost
 	again   func() bool // carried out once more a second later
 	late    func() (time.Duration, bool)
+	slow    time.Duration
 	TooBig  int // values over the limit, which must stay 0
 	maxSize int
 
@@ -88,6 +89,13 @@
 	s.late = late
 }
 
+// Slow sets how long the service takes for each answer.
+func (s *Store) Slow(by time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = by
+}
+
 // Has tells whether a key exists.
 func (s *Store) Has(key string) bool {
 	s.mu.Lock()
@@ -224,7 +232,9 @@
 			s.mu.Lock()
 			out := s.outage != nil && s.outage(r.RemoteAddr)
 			busy := s.requests != nil && !out && !s.requests.Allow()
+			slow := s.slow
 			s.mu.Unlock()
+			time.Sleep(slow)
 			if busy {
 				reply(w, 429, protocol.Problem{Error: "busy"})
 				return
