--- a/controller/day_test.go
+++ b/controller/day_test.go
@@ -357,6 +357,7 @@
 
 func playIn(t *testing.T, w world, f func(t *testing.T, d *day)) {
 	t.Helper()
+	t.Parallel() // each day has a clock of its own
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
 		d := newDay(t, ctx, 1, w)
