--- a/controller/day_test.go
+++ b/controller/day_test.go
@@ -432,6 +432,14 @@
 				t.Errorf("%s: %d, want %d", name, code, c.code)
 			}
 		}
+		// A job that was accepted stays known, whatever a later body for it looks like.
+		for _, field := range []string{"cpus", "shape", "pieces"} {
+			m := spec("wk-6", "red", 2)
+			delete(m, field)
+			if code, s := d.call("POST", "/api/jobs", m); code != 200 || s.UID != "wk-6" {
+				t.Errorf("a malformed repeat of an accepted job: %d %q", code, s.Status)
+			}
+		}
 		if code, _ := d.call("POST", "/api/jobs", []int{1}); code != 400 {
 			t.Errorf("a list: %d", code)
 		}
--- a/controller/front.go
+++ b/controller/front.go
@@ -172,6 +172,23 @@
 	return busy
 }
 
+// Refused answers a malformed submission with 400, unless it repeats one that was
+// accepted. Only a job that this node has met is looked up: what nobody knows is not
+// worth a call, and must not wait for a state service that is out.
+func (c *Controller) Refused(ctx context.Context, uid, why string) front.Answer {
+	c.mu.Lock()
+	_, known := c.finals[uid]
+	known = known || c.mirror.Get(uid) != nil || c.mirror.Over(uid)
+	c.mu.Unlock()
+	if !known {
+		return front.Problem(http.StatusBadRequest, why)
+	}
+	if a := c.Status(ctx, uid); a.Code != http.StatusNotFound {
+		return a
+	}
+	return front.Problem(http.StatusBadRequest, why)
+}
+
 // possible tells whether a job can ever run: 0, 422, or 503 when the machine
 // types are not known yet.
 func (c *Controller) possible(s *protocol.Spec) (int, string) {
--- a/front/front.go
+++ b/front/front.go
@@ -23,6 +23,8 @@
 // Service is what stands behind the door.
 type Service interface {
 	Submit(context.Context, *protocol.Spec) Answer
+	// Refused answers a submission that is malformed: of a job that is known, its state.
+	Refused(ctx context.Context, uid, why string) Answer
 	Status(context.Context, string) Answer
 	Cancel(context.Context, string) Answer
 	Beat(ctx context.Context, body []byte) Answer
@@ -48,7 +50,7 @@
 		}
 		spec, err := protocol.ParseSpec(body)
 		if err != nil {
-			write(w, Problem(http.StatusBadRequest, err.Error()))
+			write(w, s.Refused(r.Context(), protocol.UIDOf(body), err.Error()))
 			return
 		}
 		write(w, s.Submit(r.Context(), spec))
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -86,6 +86,17 @@
 // ValidUID tells whether a job id has the form that users give it.
 func ValidUID(s string) bool { return uidForm.MatchString(s) }
 
+// UIDOf finds the job that a malformed submission speaks of; empty if it names none.
+func UIDOf(b []byte) string {
+	var w struct {
+		UID string `cbor:"uid"`
+	}
+	if Unmarshal(b, &w) != nil || !ValidUID(w.UID) {
+		return ""
+	}
+	return w.UID
+}
+
 // ParseSpec decodes and checks a submission: every error is a 400.
 func ParseSpec(b []byte) (*Spec, error) {
 	var w struct {
