Services that run until cancelled, and limits of the state service that fall

Cause: replicas counted as tasks about to end (an estimate of 0 let three tasks queue behind each), a replica that ended counted as done, and records of up to 16 KiB could not be written once the limits had fallen to 2 KiB. Now the smaller of each limit is kept, larger records are split by transactions within the smaller limits, and a 400 for size is not repeated.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -97,6 +97,10 @@
 	if nw.Listen == nil {
 		nw.Listen = net.Listen
 	}
+	// What the state service may fall to without notice is never exceeded.
+	own := *set
+	own.Facts.State = set.Facts.State.Least()
+	set = &own
 	f := set.Facts
 	c := &Controller{set: set, pol: pol, log: log, net: nw, store: state.New(nw.Dial, set.Outside.State, f.State),
 		cloud: cloud.New(nw.Dial, set.Outside.Cloud, f.Cloud), peers: map[string]*peer.Client{}, teams: map[string]int{},
@@ -379,7 +383,7 @@
 		case "wait", "finished":
 			t.Times = 0
 		default:
-			continue
+			continue // "up" is served by who comes first, others are not known
 		}
 		out[o.Class] = append(out[o.Class], t)
 	}
@@ -525,6 +529,14 @@
 		if conflict, ok := err.(*state.Conflict); ok {
 			return c.resolve(ctx, p, cm, conflict)
 		}
+		if errors.Is(err, state.ErrTooLarge) {
+			// As it stands it never passes.
+			c.mu.Lock()
+			p.TooLarge(cm, time.Now())
+			c.mu.Unlock()
+			c.log.Info("a commit is too large", "shards", len(cm.Shards), "size", cm.Size())
+			return false
+		}
 		if err == nil {
 			c.mu.Lock()
 			p.Committed(cm, epoch, time.Now())
@@ -613,7 +625,12 @@
 		}
 		c.mu.Unlock()
 		if len(ms) > 0 {
-			if err := c.merge(ctx, p, view, ms); err != nil {
+			err := c.merge(ctx, p, view, ms)
+			switch {
+			case errors.Is(err, state.ErrTooLarge):
+				c.log.Info("a merge is too large", "jobs", len(ms))
+				sleep(ctx, 5*time.Second)
+			case err != nil:
 				c.log.Error("merge cannot be encoded", "err", err)
 			}
 		}
@@ -676,6 +693,8 @@
 				c.mu.Unlock()
 			}
 			return nil
+		case errors.Is(err, state.ErrTooLarge):
+			return err
 		}
 		// Its guards hold once at most, so sending it again settles it.
 		sleep(ctx, 100*time.Millisecond)
--- a/controller/front.go
+++ b/controller/front.go
@@ -120,15 +120,7 @@
 		return busy
 	}
 	if code != 0 {
-		// A job that was accepted stays accepted, whatever has changed since.
-		live, _, final, err := c.lookup(ctx, spec.UID)
-		if err == nil && (live != nil || final != nil) {
-			return front.Answer{Code: 200, Body: c.status(spec.UID, live, final)}
-		}
-		if err != nil {
-			return busy
-		}
-		return front.Problem(code, why)
+		return c.repeated(ctx, spec.UID, front.Problem(code, why))
 	}
 	c.mu.Lock()
 	e, known := c.finals[spec.UID]
@@ -143,7 +135,8 @@
 		return busy
 	}
 	if len(raw)+800 > c.store.ValueBytes() {
-		return front.Problem(http.StatusUnprocessableEntity, "the job's description is too large to keep")
+		// One that was accepted under larger limits stays known.
+		return c.repeated(ctx, spec.UID, front.Problem(http.StatusUnprocessableEntity, "the job's description is too large to keep"))
 	}
 	var epoch uint64
 	err = insist(ctx, func(ctx context.Context) (err error) {
@@ -172,6 +165,19 @@
 	return busy
 }
 
+// repeated answers a submission that would be refused: a job that was accepted stays
+// accepted, whatever has changed since.
+func (c *Controller) repeated(ctx context.Context, uid string, refusal front.Answer) front.Answer {
+	live, _, final, err := c.lookup(ctx, uid)
+	switch {
+	case err != nil:
+		return busy
+	case live != nil || final != nil:
+		return front.Answer{Code: 200, Body: c.status(uid, live, final)}
+	}
+	return refusal
+}
+
 // Refused answers a malformed submission with 400, unless it repeats one that was
 // accepted. Only a job that this node has met is looked up: what nobody knows is not
 // worth a call, and must not wait for a state service that is out.
--- /dev/null
+++ b/controller/standing_test.go
@@ -0,0 +1,162 @@
+package controller_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"junipershelf/part"
+)
+
+func daemon(uid, team string, pieces int) map[string]any {
+	m := spec(uid, team, pieces)
+	m["shape"], m["urgency"], m["expected_s"], m["borrowed"] = "daemon", "critical", 0.0, false
+	return m
+}
+
+// Replicas run until their job is cancelled, and run again elsewhere when their machine
+// is gone, is about to go or hangs, or when controllers end. The job is never done.
+func TestReplicasRunUntilCancelled(t *testing.T) {
+	play(t, func(t *testing.T, d *day) {
+		u := newUsers(d)
+		u.submit(spec("wk-9", "blue", 60))
+		u.submit(daemon("wk-1", "blue", 4))
+		scatter := daemon("wk-2", "red", 5)
+		scatter["scatter"] = true
+		u.submit(scatter)
+		time.Sleep(25 * time.Second)
+		up := func(when string) {
+			t.Helper()
+			for uid, n := range map[string]int{"wk-1": 4, "wk-2": 5} {
+				if on := d.cloud.Active(uid); on != n {
+					t.Errorf("%s: %d of %d replicas of %s", when, on, n, uid)
+				}
+			}
+			u.look("wk-1", daemon("wk-1", "blue", 4))
+		}
+		up("after the start")
+		d.cloud.Take(d.machineOf(t, "wk-1"))
+		time.Sleep(30 * time.Second)
+		up("after the loss of a machine")
+		d.cloud.Hang(d.machineOf(t, "wk-2"), 40*time.Second)
+		time.Sleep(40 * time.Second)
+		up("after a machine hung")
+		var all sync.WaitGroup
+		for _, n := range d.nodes {
+			all.Go(func() { d.crash(n, 2*time.Second) })
+		}
+		all.Wait()
+		time.Sleep(15 * time.Second)
+		up("after the loss of all controllers")
+		time.Sleep(2 * time.Minute) // nothing else runs: no drain takes them
+		up("on an idle fleet")
+		starts := 0
+		d.cloud.Lock(func() { starts = d.cloud.Starts })
+		time.Sleep(time.Minute)
+		d.cloud.Lock(func() {
+			if d.cloud.Starts != starts {
+				t.Error("replicas are moved for nothing")
+			}
+		})
+		for _, uid := range []string{"wk-1", "wk-2"} {
+			if s := u.cancel(uid, 0); s != "cancelled" {
+				t.Errorf("cancellation of %s: %s", uid, s)
+			}
+		}
+		time.Sleep(15 * time.Second)
+		for _, uid := range []string{"wk-1", "wk-2"} {
+			if n := d.cloud.Active(uid); n > 0 {
+				t.Errorf("%d replicas of %s are left", n, uid)
+			}
+		}
+		u.settle(map[string]int{"wk-9": 60}, 3*time.Minute)
+	})
+}
+
+// machineOf names a machine that runs a task of a job.
+func (d *day) machineOf(t *testing.T, uid string) string {
+	t.Helper()
+	id := d.cloud.MachineOf(uid)
+	if id == "" {
+		t.Fatalf("no machine runs %s", uid)
+	}
+	return id
+}
+
+func TestStandingSubmissions(t *testing.T) {
+	play(t, func(t *testing.T, d *day) {
+		time.Sleep(3 * time.Second)
+		for name, c := range map[string]struct {
+			change func(m map[string]any)
+			code   int
+		}{
+			"all within the limit":  {func(m map[string]any) { m["uid"], m["pieces"] = "wk-5", 12 }, 201},
+			"all beyond the limit":  {func(m map[string]any) { m["pieces"] = 13 }, 422},
+			"without expected_s":    {func(m map[string]any) { delete(m, "expected_s") }, 400},
+			"expected_s below zero": {func(m map[string]any) { m["expected_s"] = -1.0 }, 400},
+		} {
+			m := daemon("wk-6", "red", 2)
+			c.change(m)
+			if code, _ := d.call("POST", "/api/jobs", m); code != c.code {
+				t.Errorf("%s: %d, want %d", name, code, c.code)
+			}
+		}
+	})
+}
+
+// The state service's limits fall after an upgrade, in the middle of it, and while it is
+// out: records that an earlier version wrote under the larger ones are split before or
+// after, no placement is lost, and work goes on.
+func TestLimitsFall(t *testing.T) {
+	w := fewer // with so few changes that its parts are few and their records large
+	w.facts = strings.Replace(fewer.facts, "write_rps = 20.0", "write_rps = 12.0", 1)
+	next := strings.Replace(w.facts, "txn_ops = 16", "txn_ops = 16\n[facts.state.next]\nvalue_kb = 2.0\ntxn_ops = 5\nwrite_rps = 10.0", 1)
+	for name, fall := range map[string]struct {
+		after  time.Duration
+		outage bool
+	}{"after the upgrade": {30 * time.Second, false}, "during it": {2 * time.Second, false}, "in an outage": {20 * time.Second, true}} {
+		t.Run(strings.ReplaceAll(name, " ", "-"), func(t *testing.T) {
+			playIn(t, w, func(t *testing.T, d *day) {
+				d.cloud.RunFor = func(piece string) time.Duration { return time.Duration(20+10*len(piece)%30) * time.Second }
+				jobs := map[string]int{}
+				for i := range 40 {
+					uid := fmt.Sprintf("wk-%d", i+1)
+					jobs[uid] = 60
+					d.submit(spec(uid, []string{"red", "blue"}[i%2], 60))
+				}
+				time.Sleep(50 * time.Second)
+				before := d.store.Largest(part.ShardPrefix)
+				if before <= 2048 {
+					t.Errorf("the largest record has %d bytes: there is nothing to split", before)
+				}
+				d.world.facts = next
+				go func() {
+					time.Sleep(fall.after)
+					if fall.outage {
+						d.store.Outage(func(string) bool { return true })
+						time.Sleep(5 * time.Second)
+					}
+					d.store.Fall(2048, 5, 10)
+					if fall.outage {
+						d.store.Outage(nil)
+					}
+				}()
+				for _, n := range d.nodes {
+					d.crash(n, 2*time.Second)
+					time.Sleep(4 * time.Second)
+				}
+				time.Sleep(time.Minute)
+				if n := d.store.Largest(part.ShardPrefix); n > 2048 {
+					t.Errorf("a record has %d bytes a minute after the upgrade", n)
+				}
+				d.finish(jobs, 15*time.Minute)
+				if d.store.Refused > 60 {
+					t.Errorf("%d transactions were refused for their size", d.store.Refused)
+				}
+				t.Logf("largest record %d before; refused %d", before, d.store.Refused)
+			})
+		})
+	}
+}
--- a/divide/allot.go
+++ b/divide/allot.go
@@ -101,8 +101,8 @@
 	for i := range m.Held {
 		h := &m.Held[i]
 		l := d.jobs.Get(h.Job)
-		if l == nil || h.Phase == part.Gone || h.Phase == part.Queued {
-			continue
+		if l == nil || h.Phase == part.Gone || h.Phase == part.Queued || l.Standing() {
+			continue // a replica's slot does not fall free
 		}
 		est := d.estimate(l)
 		left := est
@@ -250,7 +250,7 @@
 	l := e.live
 	// Finished tasks are kept as ranges: holes far behind would grow the record
 	// past what a value may hold.
-	lag := l.Finished.Spans()*14+specRoom > d.cfg.ValueBytes/2
+	lag := l.Finished.Spans()*14+d.specRoom() > max(d.cfg.ValueBytes/2, min(d.cfg.ValueBytes, 1900))
 	var out []int
 	first := true
 	for i := e.low; i < l.Spec.Pieces && len(out) < n; i++ {
@@ -305,6 +305,9 @@
 		if ps.rooms {
 			// Fill machines up, so that others fall idle and can go.
 			score = 61 - 50*fetch - 10*m.Free.CPUs/max(m.Cap.CPUs, 1e-9)
+			if l.Standing() && m.has(l.Spec.UID) {
+				score -= 100 // not all replicas of a service on one machine
+			}
 		} else {
 			// The one where it is likely to start first.
 			wait := float64(m.Queue+1)/max(m.rate, 1e-3) + fetch*fetchS
@@ -321,7 +324,7 @@
 	if ps.rooms {
 		n = max(1, min(most, need.Slots(best.Free)))
 	}
-	if !plain {
+	if !plain || l.Standing() {
 		n = 1
 	}
 	return best, n
--- a/divide/ledger.go
+++ b/divide/ledger.go
@@ -514,6 +514,17 @@
 	e.promised = sum.Fits(d.Teams[l.Team].Guarantee)
 }
 
+// Standing tells whether a job's tasks run until it is cancelled.
+func (d *Divider) Standing(uid string) bool {
+	l := d.jobs.Get(uid)
+	return l != nil && l.Standing()
+}
+
+// has tells whether a machine holds tasks of a job.
+func (r *Room) has(uid string) bool {
+	return slices.ContainsFunc(r.Held, func(h part.Held) bool { return h.Job == uid && h.Phase != part.Gone })
+}
+
 // Saves tells whether a job's tasks keep their progress when they are stopped.
 func (d *Divider) Saves(uid string) bool {
 	l := d.jobs.Get(uid)
@@ -528,6 +539,11 @@
 	return unacked
 }
 
+// ZoneOK tells whether a zone may take one more task of a job that waits.
+func (d *Divider) ZoneOK(w *Wait, zone string) bool {
+	return w.entry == nil || w.entry.live == nil || d.zoneOK(w.entry, zone)
+}
+
 // zoneOK tells whether a zone may take one more task of a job.
 func (d *Divider) zoneOK(e *entry, zone string) bool {
 	s := &e.live.Spec
--- a/divide/merge.go
+++ b/divide/merge.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		m.Rec.Done = l.Finished.String()
-		if m.Ended == nil && len(m.Rec.Done)+specRoom > d.cfg.ValueBytes {
+		if m.Ended == nil && len(m.Rec.Done)+d.specRoom() > d.cfg.ValueBytes {
 			continue // later, when the holes are filled
 		}
 		out = append(out, m)
@@ -88,5 +88,5 @@
 }
 
 // specRoom is what a job's record takes beside its ranges, at the most that is
-// accepted.
-const specRoom = 1500
+// accepted; where values are small nearly always.
+func (d *Divider) specRoom() int { return min(1500, d.cfg.ValueBytes*3/10) }
--- a/divide/order.go
+++ b/divide/order.go
@@ -129,7 +129,7 @@
 	team = make([]float64, len(d.Teams))
 	at := sinceOf(now, 0)
 	for _, e := range d.entries {
-		if e.live == nil || e.live.Team < 0 || e.held == 0 {
+		if e.live == nil || e.live.Team < 0 || e.held == 0 || e.live.Standing() {
 			continue
 		}
 		est := d.estimate(e.live)
@@ -158,6 +158,11 @@
 			room += m.Cap.CPUs
 		}
 	}
+	for _, e := range d.entries {
+		if e.live != nil && e.live.Standing() {
+			room -= float64(e.held) * e.live.Spec.CPUs // for good
+		}
+	}
 	s := schedule{d: d, now: now, room: max(room, 1)}
 	s.busy, s.teamBusy = d.busy(now)
 	targets := make(map[*Wait][]time.Time, len(ws))
--- a/divide/preempt.go
+++ b/divide/preempt.go
@@ -64,7 +64,7 @@
 	}
 	relief := 0.0 // CPUs that fall free by themselves in a second
 	for _, e := range d.entries {
-		if e.live != nil {
+		if e.live != nil && !e.live.Standing() {
 			relief += float64(e.running) * e.live.Spec.CPUs / d.estimate(e.live)
 		}
 	}
@@ -123,7 +123,7 @@
 		for i := range m.Held {
 			h := &m.Held[i]
 			l := d.jobs.Get(h.Job)
-			if l == nil || l.Team < 0 || h.Phase != part.Running || h.Stop {
+			if l == nil || l.Team < 0 || h.Phase != part.Running || h.Stop || l.Standing() {
 				continue
 			}
 			ran := h.ForS + now.Sub(m.at).Seconds()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -170,13 +170,15 @@
 }
 
 // take takes room for tasks and tells how many found none.
-func (p pool) take(l *job.Live, offers []Offer, slots int) int {
+func (p pool) take(l *job.Live, offers []Offer, slots int, zoneOK func(string) bool) int {
 	need := l.Need()
 	for _, o := range offers {
 		if slots <= 0 {
 			break
 		}
-		if !job.Allows(&l.Spec, o.Flavor, o.Zone, o.Spot) {
+		// Room in a zone that may have no more of a job is none for it: replicas to be
+		// spread once waited beside idle machines of the wrong zone, and none was rented.
+		if !job.Allows(&l.Spec, o.Flavor, o.Zone, o.Spot) || !zoneOK(o.Zone) {
 			continue
 		}
 		k := min(slots, need.Slots(p[o]))
@@ -249,9 +251,10 @@
 		}
 		n := min(w.Tasks+d.Queued(l.Spec.UID), need.Slots(left))
 		head[w.Team] = left.Minus(job.Need{CPUs: need.CPUs * float64(n), Acc: need.Acc * float64(n)})
-		slots := have.take(l, offers, n)
+		zoneOK := func(zone string) bool { return d.ZoneOK(w, zone) }
+		slots := have.take(l, offers, n, zoneOK)
 		for slots > 0 {
-			o, c, ok := p.best(now, w, w.Rank, need, want)
+			o, c, ok := p.best(now, w, w.Rank, need, want, zoneOK)
 			if !ok {
 				break
 			}
@@ -328,6 +331,9 @@
 		for i := range m.Held {
 			h := &m.Held[i]
 			used += h.Need.CPUs * float64(h.Tasks.Len())
+			if d.Standing(h.Job) {
+				young = true // to move a replica costs more than its machine saves
+			}
 			if d.Saves(h.Job) && (h.Phase != part.Running || h.ForS+now.Sub(m.Shown()).Seconds() < p.cfg.Settle.Seconds()) {
 				young = true
 			}
@@ -387,7 +393,7 @@
 
 // best is the cheapest offer for a waiting job, by price for each task that a
 // machine holds and with its boot time counted in.
-func (p *Planner) best(now time.Time, w *divide.Wait, rank int, need job.Need, want map[Offer]int) (Offer, job.Need, bool) {
+func (p *Planner) best(now time.Time, w *divide.Wait, rank int, need job.Need, want map[Offer]int, zoneOK func(string) bool) (Offer, job.Need, bool) {
 	var best Offer
 	var room job.Need
 	cost := math.Inf(1)
@@ -399,6 +405,9 @@
 			continue
 		}
 		for _, z := range f.Yards {
+			if !zoneOK(z) {
+				continue
+			}
 			for _, spot := range []bool{true, false} {
 				o := Offer{f.Label, z, spot}
 				if !job.Allows(&w.Job.Spec, o.Flavor, o.Zone, spot) || now.Before(p.refused[o]) {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -534,6 +534,9 @@
 		w.set(n, "running")
 		w.c.judge(w, n, s)
 		d := w.c.RunFor(o.Piece)
+		if s.Shape == protocol.Daemon {
+			d = 1000 * time.Hour // until it is killed
+		}
 		n.timer = time.AfterFunc(d, func() {
 			w.c.mu.Lock()
 			defer w.c.mu.Unlock()
@@ -598,3 +601,17 @@
 	}
 	return n
 }
+
+// MachineOf names the first machine that runs a task of a job.
+func (c *Cloud) MachineOf(uid string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range c.names() {
+		for _, r := range c.workers[id].runs {
+			if strings.HasPrefix(r.piece, uid+"/") && r.status == "running" {
+				return id
+			}
+		}
+	}
+	return ""
+}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"sort"
 	"strconv"
@@ -40,6 +42,8 @@
 	slow    time.Duration
 	TooBig  int // values over the limit, which must stay 0
 	maxSize int
+	least   *limits // what is refused, once the limits have fallen
+	Refused int     // with 400 for their size
 
 	requests, changes *rate.Limiter // nil: no limit
 }
@@ -53,6 +57,70 @@
 	s.changes = rate.NewLimiter(rate.Limit(changes), int(changes))
 }
 
+type limits struct{ value, ops int }
+
+// Fall lowers the limits: larger values, counted in their JSON form, and transactions of
+// more changes are answered 400 from now on, and changes beyond the rate 429.
+func (s *Store) Fall(value, ops int, changes float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.least = &limits{value, ops}
+	s.changes = rate.NewLimiter(rate.Limit(changes), int(changes))
+}
+
+// tooLarge tells whether a transaction is beyond the limits.
+func (s *Store) tooLarge(m *protocol.Multi) bool {
+	if s.least == nil {
+		return false
+	}
+	large := len(m.Then) > s.least.ops || len(m.Guards) > 4*s.least.ops
+	for _, c := range m.Then {
+		large = large || c.Set != "" && JSONBytes(c.Data) > s.least.value
+	}
+	return large
+}
+
+// JSONBytes is the length of a CBOR value in its JSON form.
+func JSONBytes(raw []byte) int {
+	var v any
+	if err := cbor.Unmarshal(raw, &v); err != nil {
+		panic(err)
+	}
+	text, err := json.Marshal(jsonable(v))
+	if err != nil {
+		panic(err)
+	}
+	return len(text)
+}
+
+func jsonable(v any) any {
+	switch v := v.(type) {
+	case map[any]any:
+		out := map[string]any{}
+		for k, x := range v {
+			out[fmt.Sprint(k)] = jsonable(x)
+		}
+		return out
+	case []any:
+		for i := range v {
+			v[i] = jsonable(v[i])
+		}
+	}
+	return v
+}
+
+// Largest is the size of the largest value under a prefix, in its JSON form.
+func (s *Store) Largest(prefix string) (most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, v := range s.keys {
+		if strings.HasPrefix(k, prefix) {
+			most = max(most, JSONBytes(v.data))
+		}
+	}
+	return most
+}
+
 // NewStore makes an empty store.
 func NewStore(maxSize int) *Store {
 	return &Store{keys: map[string]value{}, grants: map[uint64]time.Time{}, lives: map[uint64]time.Duration{},
@@ -283,6 +351,12 @@
 			return
 		}
 		s.mu.Lock()
+		if s.tooLarge(&m) {
+			s.Refused++
+			s.mu.Unlock()
+			reply(w, 400, protocol.Problem{Error: "too large"})
+			return
+		}
 		// What fails its guards counts as well.
 		if len(m.Then) > 0 && s.changes != nil && !s.changes.AllowN(time.Now(), len(m.Then)) {
 			s.mu.Unlock()
--- a/job/mirror.go
+++ b/job/mirror.go
@@ -57,6 +57,9 @@
 // Need is what each task takes.
 func (l *Live) Need() Need { return NeedOf(&l.Spec) }
 
+// Standing tells that a job's tasks run until it is cancelled.
+func (l *Live) Standing() bool { return l.Spec.Shape == protocol.Daemon }
+
 // Allows tells whether a machine's type, zone and kind are allowed.
 func Allows(s *protocol.Spec, flavor, zone string, spot bool) bool {
 	if spot && !s.Borrowed || s.Yard != "" && s.Yard != zone {
--- a/part/commit.go
+++ b/part/commit.go
@@ -21,6 +21,7 @@
 	done        int       // what of it is finished tasks
 	coming      int       // what waits to be placed in it takes about so much
 	since       time.Time // first unwritten change
+	pause       time.Time // it was too large for the service; not tried before this
 }
 
 // ShardWrite is a shard's part of a commit: Rec is nil when the record goes.
@@ -34,6 +35,11 @@
 	add   []*Placement
 	drop  []*Placement
 	on    map[*Placement]*Machine
+
+	// What comes here from a record that is split.
+	moved   []*Placement
+	ended   []Ended
+	endedOf *shard
 }
 
 // Commit is one transaction: its guards are the view, and the stamps of all
@@ -168,6 +174,10 @@
 // Shards with tasks that could start come first, then those that wait longest.
 // The commit must be settled before the next one is made.
 func (p *Part) NextCommit(now time.Time, most int) *Commit {
+	if c := p.split(now); c != nil {
+		p.next++
+		return c
+	}
 	most = max(min(most, p.cfg.TxnOps)>>p.shrunk, 1)
 	score := map[*shard]float64{}
 	for _, s := range p.shards {
@@ -204,7 +214,7 @@
 	}
 	var ready []*shard
 	for s, n := range score {
-		if s.inflight {
+		if s.inflight || now.Before(s.pause) {
 			continue
 		}
 		if s.since.IsZero() {
@@ -339,6 +349,7 @@
 		for _, pl := range w.add {
 			p.added(w.on[pl], pl)
 		}
+		w.settleMoved()
 	}
 	p.tidy()
 }
@@ -421,6 +432,9 @@
 				p.added(w.on[pl], pl)
 			}
 		}
+		if rec != nil && w.endedOf != nil {
+			w.settleMoved() // the split had passed unseen
+		}
 	}
 	return nil
 }
--- a/part/part.go
+++ b/part/part.go
@@ -396,6 +396,11 @@
 		}
 		if pc.Status == "ended" && !pl.gone {
 			pl.gone, pl.done = true, pc.Cause == "done"
+			if l := p.jobs.Get(uid); l != nil && l.Standing() {
+				// A replica is never done: it has to run again, and one that ends
+				// everywhere counts as failed, so that it backs off.
+				pl.done = false
+			}
 			if pc.Cause == "full" {
 				m.full = true
 			}
--- a/part/queue.go
+++ b/part/queue.go
@@ -142,6 +142,11 @@
 			// elsewhere; the rest may still complete.
 			pl.stop, pl.grace = true, l.Spec.StashS*2+1
 			p.touch(m)
+		case (m.warning || m.leaving) && l != nil && l.Standing() && !pl.stop && pl.status != "":
+			// A replica has nothing to complete: the sooner it is known to be gone,
+			// the sooner it runs elsewhere.
+			pl.stop, pl.grace = true, 0
+			p.touch(m)
 		}
 	}
 	if len(m.runs)+len(m.queue) > 0 {
--- a/part/record.go
+++ b/part/record.go
@@ -292,6 +292,15 @@
 	w.done[t.Job].Add(t.Index)
 }
 
+// size is about what the record takes as far as it is written.
+func (w *writer) size() int {
+	n := w.rec.Size()
+	for _, r := range w.done {
+		n += 8*r.Spans() + rowBytes
+	}
+	return n
+}
+
 func (w *writer) record() *Record {
 	for _, uid := range slices.Sorted(maps.Keys(w.done)) {
 		w.rec.Done = append(w.rec.Done, RecDone{Job: w.job(uid, -1), Tasks: w.done[uid].String()})
--- /dev/null
+++ b/part/split_test.go
@@ -0,0 +1,191 @@
+package part
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"junipershelf/internal/standin"
+	"junipershelf/job"
+	"junipershelf/protocol"
+)
+
+// jsonBytes is how the state service counts a record.
+func jsonBytes(t *rapid.T, rec *Record) int {
+	raw, err := protocol.Marshal(rec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return standin.JSONBytes(raw)
+}
+
+// Records that were written under larger limits are split, by transactions within the
+// smaller ones, whatever becomes of each: at no time does a placement or a finished task
+// stand in no record. The plain model is the set of all of them. A value that is still
+// too large is only ever written as long as the service takes it; once the limits have
+// fallen each is within them, or refused and left as it stands.
+func TestSplitLosesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const small = 2048
+		cfg := testConfig
+		cfg.ValueBytes, cfg.TxnOps = small, rapid.IntRange(4, 10).Draw(t, "ops")
+		jobs := rapid.IntRange(1, 30).Draw(t, "jobs")
+		mirror := job.NewMirror(map[string]int{"red": 0})
+		for j := range jobs {
+			s := one(fmt.Sprint("wk-", j+1), 1000)
+			s.Owner, s.Urgency = "red", "normal"
+			if err := mirror.Set(s.UID, job.Record{Spec: s}, 1, t0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		mirror.Refreshed(t0.Add(cfg.Stale))
+		w := newWriter()
+		want := map[string]bool{}
+		for m := range rapid.IntRange(1, 150).Draw(t, "machines") {
+			var pls []*Placement
+			for k := range rapid.IntRange(1, 6).Draw(t, "tasks") {
+				pl := old(fmt.Sprint("wk-", 1+(m*7+k)%jobs), m*6+k, uint64(1+m%5))
+				pls = append(pls, pl)
+				want[pl.Task.String()] = true
+			}
+			w.machine(&Machine{ID: fmt.Sprintf("i-%06d", m), Flavor: "quad", Zone: "z", shift: 1}, pls)
+		}
+		for k := range rapid.IntRange(0, 200).Draw(t, "done") {
+			task := job.Task{Job: fmt.Sprint("wk-", 1+k%jobs), Index: 900 - 2*(k/jobs)}
+			w.finished(task)
+			want[task.String()+" done"] = true
+		}
+		store := map[string]*Record{ShardKey(0, 0): w.record()}
+		stamps := map[string]uint64{ShardKey(0, 0): 5}
+		p := New(cfg, 7, 0, t0, caps, mirror)
+		if err := p.Load(ShardKey(0, 0), *store[ShardKey(0, 0)], 5, t0); err != nil {
+			t.Fatal(err)
+		}
+		check := func() {
+			got := map[string]bool{}
+			for _, r := range store {
+				_ = r.each(func(_ *RecMachine, _ RecKind, pl *Placement) { got[pl.Task.String()] = true })
+				_ = r.done(func(tk job.Task) { got[tk.String()+" done"] = true })
+			}
+			if d := cmp.Diff(want, got); d != "" {
+				t.Fatalf("the records do not hold all: %s", d)
+			}
+		}
+		epoch := uint64(10)
+		for range 400 {
+			c := p.split(t0)
+			if c == nil {
+				break
+			}
+			if len(c.Shards) > cfg.TxnOps {
+				t.Fatalf("%d changes in a transaction", len(c.Shards))
+			}
+			for i, w := range c.Shards {
+				if i > 0 && jsonBytes(t, w.Rec) > small {
+					t.Fatalf("a new record of %d bytes", jsonBytes(t, w.Rec))
+				}
+				if w.Stamp != stamps[w.Key] {
+					t.Fatalf("%s guarded on %d, stands at %d", w.Key, w.Stamp, stamps[w.Key])
+				}
+			}
+			fate := rapid.SampledFrom([]string{"passed", "passed", "unseen", "refused"}).Draw(t, "fate")
+			if fate != "refused" {
+				epoch++
+				for _, w := range c.Shards {
+					store[w.Key], stamps[w.Key] = w.Rec, epoch
+					if w.Rec == nil {
+						delete(store, w.Key)
+						delete(stamps, w.Key)
+					}
+				}
+			}
+			switch fate {
+			case "passed":
+				p.Committed(c, epoch, t0)
+			case "unseen": // sent again, its guards fail, and all are read
+				for _, w := range c.Shards {
+					if err := p.Reread(c, w.Key, store[w.Key], stamps[w.Key], t0); err != nil {
+						t.Fatal(err)
+					}
+				}
+				p.Refused(c)
+			case "refused":
+				p.Refused(c)
+			}
+			check()
+		}
+		for k, r := range store {
+			if n := jsonBytes(t, r); n > small {
+				t.Fatalf("%s has %d bytes at the end", k, n)
+			}
+		}
+		// What the part holds is what stands there, by record.
+		for _, s := range p.shards {
+			held := map[string]bool{}
+			for _, m := range p.machines {
+				for _, pl := range m.runs {
+					if pl.shard == s {
+						held[pl.Task.String()] = true
+					}
+				}
+			}
+			stand := map[string]bool{}
+			if r := store[s.key]; r != nil {
+				_ = r.each(func(_ *RecMachine, _ RecKind, pl *Placement) { stand[pl.Task.String()] = true })
+			}
+			if !maps.Equal(held, stand) {
+				t.Fatalf("%s: %v held, %v stand there", s.key, len(held), len(stand))
+			}
+		}
+	})
+}
+
+// A commit that is too large is not tried again as it stands: one of several records is
+// made smaller, a single one waits for a while.
+func TestTooLargeIsNotRepeated(t *testing.T) {
+	p := New(testConfig, 7, 0, t0, caps, newMirror(t, one("wk-1", 10)))
+	if err := p.Load(ShardKey(0, 0), record("a", 1, old("wk-1", 0, 3)), 5, t0); err != nil {
+		t.Fatal(err)
+	}
+	p.Report(at(0), beat("a", 2, 1, 7)) // its session is over: a removal
+	c := commit(t, p, at(0))
+	p.TooLarge(c, at(0))
+	if wanted(p, at(1)) {
+		t.Error("tried again at once")
+	}
+	if !wanted(p, at(3)) {
+		t.Error("never tried again")
+	}
+}
+
+// A replica that ends is not done, whatever the cause: it has to run again. At a notice,
+// or on a machine that leaves, it is stopped at once, so that it runs elsewhere soon.
+func TestReplicas(t *testing.T) {
+	s := one("wk-1", 2)
+	s.Shape = protocol.Daemon
+	p := New(testConfig, 7, 0, t0, caps, newMirror(t, s))
+	p.Report(at(0), beat("a", 1, 1, 7))
+	allot(p, at(0), 1, "wk-1", 0, "a", 0)
+	allot(p, at(0), 2, "wk-1", 1, "a", 0)
+	p.Tick(at(0))
+	p.Committed(commit(t, p, at(0)), 9, at(0))
+	p.Report(at(1), beat("a", 1, 2, 7))
+	orders := p.Orders(at(1), "a", 1, 2)
+	want(t, "starts", verbs(orders), "start wk-1/0;start wk-1/1;")
+	try := orders[0].Try
+	running := protocol.Piece{Piece: "wk-1/1", Try: try, Status: "running"}
+	p.Report(at(2), beat("a", 1, 3, 7, protocol.Piece{Piece: "wk-1/0", Try: try, Status: "ended", Cause: "done"}, running))
+	want(t, "an end", shows(t, commit(t, p, at(2))), "wk-1/1@a;")
+	if len(p.faults) != 1 {
+		t.Errorf("%d faults: a replica that ends everywhere would never back off", len(p.faults))
+	}
+	warned := beat("a", 1, 4, 7, running)
+	left := 8.0
+	warned.WarningS = &left
+	p.Report(at(3), warned)
+	p.TickOne(at(3), "a")
+	want(t, "at a notice", verbs(p.Orders(at(3), "a", 1, 4)), "kill wk-1/1;")
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -79,6 +79,37 @@
 	WriteRPS float64 `toml:"write_rps"`
 	ValueKB  float64 `toml:"value_kb"`
 	TxnOps   int     `toml:"txn_ops"`
+	// Next is what the service may fall to at any moment, without notice.
+	Next *NextLimits `toml:"next"`
+}
+
+// NextLimits are the limits to come; those that are absent stay as they are.
+type NextLimits struct {
+	RPS      *float64 `toml:"rps"`
+	WriteRPS *float64 `toml:"write_rps"`
+	ValueKB  *float64 `toml:"value_kb"`
+	TxnOps   *int     `toml:"txn_ops"`
+}
+
+// Least is what holds now and later: the smaller of each limit.
+func (l StateLimits) Least() StateLimits {
+	n := l.Next
+	l.Next = nil
+	if n == nil {
+		return l
+	}
+	for _, v := range []struct {
+		now  *float64
+		next *float64
+	}{{&l.RPS, n.RPS}, {&l.WriteRPS, n.WriteRPS}, {&l.ValueKB, n.ValueKB}} {
+		if v.next != nil {
+			*v.now = min(*v.now, *v.next)
+		}
+	}
+	if n.TxnOps != nil {
+		l.TxnOps = min(l.TxnOps, *n.TxnOps)
+	}
+	return l
 }
 
 // CloudLimits bounds the use of the cloud's interface.
@@ -174,6 +205,19 @@
 	if f.State.TxnOps < 4 {
 		return errors.New("facts.state.txn_ops: below 4")
 	}
+	if n := f.State.Next; n != nil {
+		for _, v := range []struct {
+			name  string
+			value *float64
+		}{{"rps", n.RPS}, {"write_rps", n.WriteRPS}, {"value_kb", n.ValueKB}} {
+			if v.value != nil && (!(*v.value > 0) || *v.value > 1e9) {
+				return fmt.Errorf("facts.state.next.%s: not above 0", v.name)
+			}
+		}
+		if n.TxnOps != nil && *n.TxnOps < 4 {
+			return errors.New("facts.state.next.txn_ops: below 4")
+		}
+	}
 	if len(f.Teams) == 0 {
 		return errors.New("facts.teams: missing")
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -69,6 +69,9 @@
 		{`cpus_max = 8.0`, `cpus_max = 2.0`, "facts.teams[0].cpus_max"},
 		{`mem_mb = 125.0`, `mem_mb = nan`, "facts.resources.mem_mb"},
 		{`zones = ["z"]`, `zones = []`, "facts.zones"},
+		{`[facts.cloud]`, "[facts.state.next]\nvalue_kb = 0.0\n[facts.cloud]", "facts.state.next.value_kb"},
+		{`[facts.cloud]`, "[facts.state.next]\nwrite_rps = -2.0\n[facts.cloud]", "facts.state.next.write_rps"},
+		{`[facts.cloud]`, "[facts.state.next]\ntxn_ops = 1\n[facts.cloud]", "facts.state.next.txn_ops"},
 		{`[outside]`, `[outside`, "line"},
 	} {
 		text := strings.Replace(good, c.old, c.new, 1)
@@ -83,3 +86,22 @@
 		t.Errorf("missing file: %v", err)
 	}
 }
+
+// What is kept to is the smaller of each limit, now and to come; what is absent or larger
+// changes nothing.
+func TestLeastOfTheLimits(t *testing.T) {
+	now := StateLimits{RPS: 100, WriteRPS: 20, ValueKB: 8, TxnOps: 16}
+	for next, want := range map[string]StateLimits{
+		"": now,
+		"[facts.state.next]\nvalue_kb = 2.0\ntxn_ops = 5\nwrite_rps = 15.0": {RPS: 100, WriteRPS: 15, ValueKB: 2, TxnOps: 5},
+		"[facts.state.next]\nvalue_kb = 64.0\nrps = 50.0\ncolour = 1":       {RPS: 50, WriteRPS: 20, ValueKB: 8, TxnOps: 16},
+	} {
+		s, err := Parse([]byte(strings.Replace(good, "[facts.cloud]", next+"\n[facts.cloud]", 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := s.Facts.State.Least(); got != want {
+			t.Errorf("%q: %+v", next, got)
+		}
+	}
+}
--- a/state/state.go
+++ b/state/state.go
@@ -25,6 +25,9 @@
 	ErrBusy = fmt.Errorf("%w for now", ErrRefused)
 	// ErrNoPermit says that the grant is over.
 	ErrNoPermit = errors.New("no such grant")
+	// ErrTooLarge says that a value or a transaction is beyond the limits: the same one
+	// never passes.
+	ErrTooLarge = errors.New("beyond the state service's limits")
 	// ErrGone says that a watch is too old.
 	ErrGone = errors.New("watch too old")
 	// ErrUnknown says that the request may have been or may yet be executed.
@@ -297,7 +300,12 @@
 	case 409:
 		return r.Epoch, &Conflict{Failed: r.Failed}
 	case 400:
-		return 0, ErrNoPermit
+		for _, ch := range m.Then {
+			if ch.Permit != 0 {
+				return 0, ErrNoPermit
+			}
+		}
+		return 0, ErrTooLarge
 	}
 	return 0, fmt.Errorf("%w: status %d", ErrUnknown, code)
 }
