--- a/divide/allot.go
+++ b/divide/allot.go
@@ -212,7 +212,12 @@
 	l, e := w.Job, w.entry
 	most := min(d.run(w), d.left(l, !ps.borrow), e.free)
 	given := 0
-	matched := !ps.any && d.patient(e, ps.now)
+	if l.Standing() && !ps.rooms && ps.now.Sub(l.Seen) < standingQueue {
+		// Room is made for it first, see preempt.
+		w.blocked = true
+		return 0
+	}
+	matched := !ps.any && !l.Standing() && d.patient(e, ps.now)
 	for given < most {
 		m, n := d.choose(e, most-given, ps, matched)
 		if m == nil {
@@ -287,6 +292,10 @@
 			shun = e.shunned[t[0]]
 		}
 	}
+	var given map[string]bool
+	if l.Standing() {
+		given = d.given(l.Spec.UID)
+	}
 	for _, m := range d.open {
 		if shun == m.ID && shun != "" || !need.Fits(m.Cap) || ps.rooms && !need.Fits(m.Free) ||
 			!job.Allows(&l.Spec, m.Flavor, m.Zone, m.Spot) || !plain && !d.zoneOK(e, m.Zone) {
@@ -305,7 +314,7 @@
 		if ps.rooms {
 			// Fill machines up, so that others fall idle and can go.
 			score = 61 - 50*fetch - 10*m.Free.CPUs/max(m.Cap.CPUs, 1e-9)
-			if l.Standing() && m.has(l.Spec.UID) {
+			if l.Standing() && (given[m.ID] || m.has(l.Spec.UID)) {
 				score -= 100 // not all replicas of a service on one machine
 			}
 		} else {
--- a/divide/divide_test.go
+++ b/divide/divide_test.go
@@ -712,3 +712,60 @@
 		}
 	})
 }
+
+// Room for replicas is made at once, and each goes to the machine whose tasks are stopped
+// for it; never beyond its team's limit, not for work that has run for long, and with two
+// machines to choose from not twice on one.
+func TestRoomForReplicas(t *testing.T) {
+	cfg := testConfig
+	cfg.Backlog, cfg.Preempt, cfg.Settle, cfg.MaxLoss = 0, 20*time.Second, 30*time.Second, 5*time.Second
+	for _, c := range []struct {
+		name     string
+		replicas int
+		ran      float64
+		want     int
+	}{{"two of two", 2, 10, 2}, {"up to the limit of five", 9, 10, 5}, {"none of what ran for long", 2, 25, 0}} {
+		specs := []protocol.Spec{{UID: "wk-1", Owner: "red", CPUs: 1, Pieces: c.replicas, Urgency: "critical", Shape: protocol.Daemon},
+			{UID: "wk-2", Owner: "blue", CPUs: 1, Pieces: 8, ExpectedS: 100}}
+		g := whole(1, machine("a"), machine("b"))
+		for i := range g.Machines {
+			g.Machines[i].Room.CPUs = 0
+			g.Machines[i].Held = []part.Held{{Job: "wk-2", Team: "blue", Need: job.Need{CPUs: 1}, Tasks: tasks(4*i, 4*i+1, 4*i+2, 4*i+3), Phase: part.Running, ForS: c.ran}}
+		}
+		d := New(cfg, teams(), 1, caps, mirror(specs...))
+		d.Digest(0, g, t0)
+		d.Allot(t0.Add(500 * time.Millisecond))
+		if len(d.Stops(0)) > 0 {
+			t.Errorf("%s: stops before it has waited at all", c.name)
+		}
+		for s := 1; s < 4; s++ {
+			d.Allot(t0.Add(time.Duration(s) * 1200 * time.Millisecond))
+		}
+		on := map[string]int{}
+		for _, a := range d.Unacked(0) {
+			on[a.Machine] += a.Tasks.Len()
+		}
+		if n := on["a"] + on["b"]; n != c.want || len(d.Stops(0)) != c.want {
+			t.Errorf("%s: %d replicas given, %d tasks stopped, want %d", c.name, n, len(d.Stops(0)), c.want)
+		}
+		if c.want == 2 && (on["a"] != 1 || on["b"] != 1) {
+			t.Errorf("%s: %v", c.name, on)
+		}
+	}
+}
+
+// A replica's slot does not fall free: nothing queues behind it, though its estimate is 0.
+func TestNothingQueuesBehindReplicas(t *testing.T) {
+	cfg := testConfig
+	cfg.Backlog = 3
+	d := New(cfg, teams(), 1, caps, mirror(protocol.Spec{UID: "wk-1", Owner: "blue", CPUs: 1, Pieces: 4, Urgency: "critical", Shape: protocol.Daemon},
+		protocol.Spec{UID: "wk-2", Owner: "blue", CPUs: 1, Pieces: 4, ExpectedS: 10}))
+	g := whole(1, machine("a"))
+	g.Machines[0].Room.CPUs = 0
+	g.Machines[0].Held = []part.Held{{Job: "wk-1", Team: "blue", Need: job.Need{CPUs: 1}, Tasks: tasks(0, 1, 2, 3), Phase: part.Running, ForS: 50}}
+	d.Digest(0, g, t0)
+	d.Allot(t0.Add(time.Second))
+	if got := list(d, 0); len(got) != 0 {
+		t.Errorf("%v queue behind replicas", got)
+	}
+}
--- a/divide/ledger.go
+++ b/divide/ledger.go
@@ -520,6 +520,20 @@
 	return l != nil && l.Standing()
 }
 
+// given lists the machines to which tasks of a job went that their owners have not
+// acknowledged.
+func (d *Divider) given(uid string) map[string]bool {
+	out := map[string]bool{}
+	for i := range d.owners {
+		for _, a := range d.owners[i].unacked {
+			if a.Job == uid {
+				out[a.Machine] = true
+			}
+		}
+	}
+	return out
+}
+
 // has tells whether a machine holds tasks of a job.
 func (r *Room) has(uid string) bool {
 	return slices.ContainsFunc(r.Held, func(h part.Held) bool { return h.Job == uid && h.Phase != part.Gone })
--- a/divide/preempt.go
+++ b/divide/preempt.go
@@ -39,6 +39,7 @@
 	l     *job.Live
 	need  job.Need
 	cost  float64
+	loss  float64 // of run time
 	taken bool
 }
 
@@ -48,6 +49,14 @@
 	maxTurnStops = 64
 )
 
+// Room for replicas is made after standingPause, and what ran for up to standingLoss is
+// stopped for it.
+const (
+	standingPause = time.Second
+	standingLoss  = 20.0
+	standingQueue = 4 * time.Second // and if that fails, they queue on full machines
+)
+
 // preempt stops work to make room where the protocol allows it: for work of a
 // higher urgency, and to give a team its guarantee, work that another team runs
 // beyond its own. The cheapest loss goes first: what saves its progress, then
@@ -80,10 +89,15 @@
 		}
 		inside := d.within(w.Job, true)
 		asked += float64(w.Tasks) * w.Job.Spec.CPUs
-		if asked <= relief*d.cfg.Preempt.Seconds() {
+		// Replicas serve from the moment they run, and what falls free by itself goes to
+		// the queues of the machines first: room is made for them at once.
+		pause := d.cfg.Preempt
+		if w.Job.Standing() {
+			pause = standingPause
+		} else if asked <= relief*d.cfg.Preempt.Seconds() {
 			continue // served first, it has its room sooner without
 		}
-		if w.Tasks <= 0 || w.Lost || now.Sub(w.Job.Seen) < d.cfg.Preempt || !d.within(w.Job, false) ||
+		if w.Tasks <= 0 || w.Lost || now.Sub(w.Job.Seen) < pause || !d.within(w.Job, false) ||
 			w.Job.Rank >= ordinary && !inside {
 			continue
 		}
@@ -91,15 +105,27 @@
 			all = d.victims(now)
 		}
 		need := w.Job.Need()
-		for n := 0; n < w.Tasks && n < maxStops; n++ {
-			if coming >= need.CPUs {
+		for n, tasks := 0, w.Tasks; n < tasks && n < maxStops; n++ {
+			if coming >= need.CPUs && !w.Job.Standing() {
 				coming -= need.CPUs
 				continue
 			}
-			vs := d.cheapest(w, need, inside, over, all)
+			m, vs := d.cheapest(w, need, inside, over, all)
 			if vs == nil {
 				break
 			}
+			if w.Job.Standing() {
+				if !d.within(w.Job, false) {
+					break
+				}
+				// It goes there at once, to the head of the queue: else what waits on
+				// that machine had the room.
+				tasks := d.next(w.entry, 1, m.ID)
+				if len(tasks) == 0 {
+					break
+				}
+				d.give(w.entry, m, tasks, 0)
+			}
 			for _, v := range vs {
 				v.taken = true
 				d.stops[v.t] = now
@@ -131,7 +157,7 @@
 			if l.Spec.SnapshotS > 0 {
 				loss = l.Spec.StashS
 			}
-			if loss > d.cfg.MaxLoss.Seconds() {
+			if loss > max(d.cfg.MaxLoss.Seconds(), standingLoss) {
 				continue
 			}
 			cost := loss * h.Need.CPUs
@@ -141,7 +167,7 @@
 			for t := range h.Tasks.All() {
 				task := job.Task{Job: h.Job, Index: t}
 				if _, stopping := d.stops[task]; !stopping {
-					vs = append(vs, &victim{t: task, l: l, need: h.Need, cost: cost})
+					vs = append(vs, &victim{t: task, l: l, need: h.Need, cost: cost, loss: loss})
 				}
 			}
 		}
@@ -159,22 +185,29 @@
 }
 
 // cheapest finds the cheapest tasks of one machine whose room is enough.
-func (d *Divider) cheapest(w *Wait, need job.Need, inside bool, over []float64, all map[*Room][]*victim) []*victim {
-	var best []*victim
+func (d *Divider) cheapest(w *Wait, need job.Need, inside bool, over []float64, all map[*Room][]*victim) (at *Room, best []*victim) {
 	bestCost := 0.0
+	standing := w.Job.Standing()
+	var given map[string]bool
+	if standing {
+		given = d.given(w.Job.Spec.UID)
+	}
 	for _, m := range d.Order() {
-		if all[m] == nil || !need.Fits(m.Cap) || !job.Allows(&w.Job.Spec, m.Flavor, m.Zone, m.Spot) {
+		if all[m] == nil || !need.Fits(m.Cap) || !job.Allows(&w.Job.Spec, m.Flavor, m.Zone, m.Spot) || !d.ZoneOK(w, m.Zone) {
 			continue
 		}
 		room, cost := m.Free, 0.0
 		room.CPUs, room.Mem, room.Acc = max(room.CPUs, 0), max(room.Mem, 0), max(room.Acc, 0)
+		if standing && (given[m.ID] || m.has(w.Job.Spec.UID)) {
+			cost = standingLoss * need.CPUs // rather another machine
+		}
 		var vs []*victim
 		for _, v := range all[m] {
 			if need.Fits(room) {
 				break
 			}
 			beyond := inside && v.l.Team != w.Team && over[v.l.Team] >= v.need.CPUs
-			if v.taken || v.l.Rank <= w.Job.Rank && !beyond {
+			if v.taken || v.l.Rank <= w.Job.Rank && !beyond || !standing && v.loss > d.cfg.MaxLoss.Seconds() {
 				continue
 			}
 			room = room.Plus(v.need)
@@ -182,8 +215,8 @@
 			vs = append(vs, v)
 		}
 		if len(vs) > 0 && need.Fits(room) && (best == nil || cost < bestCost) {
-			best, bestCost = vs, cost
+			at, best, bestCost = m, vs, cost
 		}
 	}
-	return best
+	return at, best
 }
--- a/part/queue.go
+++ b/part/queue.go
@@ -25,12 +25,27 @@
 		if l.Finished.Has(i) || p.holds(t) {
 			continue
 		}
-		m.queue = append(m.queue, entry{task: t, need: l.Need(), since: now, group: group})
+		at := len(m.queue)
+		if l.Standing() {
+			// Replicas serve from the moment they run: they go before what waits there.
+			at = slices.IndexFunc(m.queue, func(e entry) bool { return p.yields(e.task, l) })
+			if at < 0 {
+				at = len(m.queue)
+			}
+		}
+		m.queue = slices.Insert(m.queue, at, entry{task: t, need: l.Need(), since: now, group: group})
 		p.Counts.Queued++
 	}
 	p.touch(m)
 }
 
+// yields tells whether a task that waits lets a service's replica go first: it is none
+// itself, and no more urgent.
+func (p *Part) yields(t job.Task, l *job.Live) bool {
+	o := p.jobs.Get(t.Job)
+	return o != nil && !o.Standing() && o.Rank >= l.Rank
+}
+
 // holds tells whether a task is on any machine of this owner. The divider allots
 // only what nobody holds, so this guards against news that crossed.
 func (p *Part) holds(t job.Task) bool {
@@ -184,13 +199,20 @@
 		}
 		if open = open && e.need.Fits(room); open {
 			room = room.Minus(e.need)
-		} else if ahead++; ahead > p.cfg.Ahead {
+		} else if ahead++; ahead > p.cfg.Ahead && !l.Standing() {
 			return
 		} else {
 			p.Counts.Ahead++
 		}
 		m.queue = m.queue[1:]
-		m.runs = append(m.runs, &Placement{Task: e.task, Try: p.tryOf(e.group), Session: m.shift,
+		at := len(m.runs)
+		if l.Standing() {
+			at = slices.IndexFunc(m.runs, func(pl *Placement) bool { return pl.waits() && p.yields(pl.Task, l) })
+			if at < 0 {
+				at = len(m.runs)
+			}
+		}
+		m.runs = slices.Insert(m.runs, at, &Placement{Task: e.task, Try: p.tryOf(e.group), Session: m.shift,
 			Need: e.need, Team: l.Spec.Owner, Image: l.Spec.Bundle, ImageGB: l.Spec.SizeGB, since: e.since})
 		p.touch(m)
 	}
--- a/part/split_test.go
+++ b/part/split_test.go
@@ -189,3 +189,31 @@
 	p.TickOne(at(3), "a")
 	want(t, "at a notice", verbs(p.Orders(at(3), "a", 1, 4)), "kill wk-1/1;")
 }
+
+// A replica goes before what waits on its machine and is no more urgent, committed ahead
+// or not, and the next room is its own.
+func TestReplicasGoFirst(t *testing.T) {
+	s := one("wk-1", 1)
+	s.Shape = protocol.Daemon
+	p := New(testConfig, 7, 0, t0, caps, newMirror(t, s, one("wk-2", 12)))
+	p.Report(at(0), beat("a", 1, 1, 7))
+	for i := range 10 {
+		allot(p, at(0), uint64(i+1), "wk-2", i, "a", 0)
+	}
+	p.Tick(at(0))
+	p.Committed(commit(t, p, at(0)), 9, at(0))
+	p.Report(at(1), beat("a", 1, 2, 7))
+	want(t, "the first four", verbs(p.Orders(at(1), "a", 1, 2)), "start wk-2/0;start wk-2/1;start wk-2/2;start wk-2/3;")
+	allot(p, at(1), 11, "wk-1", 0, "a", 0)
+	p.Tick(at(1))
+	p.Committed(commit(t, p, at(1)), 10, at(1))
+	var pieces []protocol.Piece
+	for _, pl := range p.machines["a"].runs {
+		if pl.sent {
+			pieces = append(pieces, protocol.Piece{Piece: pl.Task.String(), Try: pl.Try, Status: "running"})
+		}
+	}
+	pieces[0].Status, pieces[0].Cause = "ended", "done"
+	p.Report(at(2), beat("a", 1, 3, 7, pieces...))
+	want(t, "the next room", verbs(p.Orders(at(2), "a", 1, 3)), "start wk-1/0;")
+}
