--- a/part/commit.go
+++ b/part/commit.go
@@ -239,6 +239,11 @@
 		if len(w.add)+len(w.drop) == 0 {
 			continue
 		}
+		if w.Size > p.cfg.ValueBytes && len(w.add) == 0 && w.Rec != nil && !p.oversize(s) {
+			// What stands in it has outgrown a value by itself: it is split next time.
+			s.size = w.Size
+			continue
+		}
 		if len(c.Shards) > 0 && c.Size()+w.Size > maxCommit {
 			continue
 		}
--- a/part/split.go
+++ b/part/split.go
@@ -164,7 +164,11 @@
 // record that alone is too large waits until some of it has gone.
 func (p *Part) TooLarge(c *Commit, now time.Time) {
 	if len(c.Shards) == 1 || c.Shards[1].endedOf != nil {
-		c.Shards[0].shard.pause = now.Add(2 * time.Second)
+		s := c.Shards[0].shard
+		s.pause = now.Add(2 * time.Second)
+		if len(c.Shards) == 1 && s.stamp != 0 {
+			s.size = max(s.size, p.cfg.ValueBytes) // whatever we thought: it is to be split
+		}
 	} else {
 		p.Conflicted()
 	}
