--- a/part/part_test.go
+++ b/part/part_test.go
@@ -1,15 +1,14 @@
 package part
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 
+	"junipershelf/internal/standin"
 	"junipershelf/job"
 	"junipershelf/protocol"
 )
@@ -677,7 +676,7 @@
 					}
 					store[w.Key] = *w.Rec
 					raw, _ := protocol.Marshal(w.Rec)
-					if n := jsonSize(t, raw); n > w.Size || n > cfg.ValueBytes {
+					if n := standin.JSONBytes(raw); n > w.Size || n > cfg.ValueBytes {
 						t.Fatalf("%s takes %d bytes, thought to be %d, of %d", w.Key, n, w.Size, cfg.ValueBytes)
 					}
 				}
@@ -777,36 +776,3 @@
 		}
 	}
 }
-
-// jsonSize is the length of a CBOR value in its JSON form.
-func jsonSize(t interface{ Fatal(...any) }, raw []byte) int {
-	mode, err := cbor.DecOptions{DefaultMapType: nil}.DecMode()
-	if err != nil {
-		t.Fatal(err)
-	}
-	var v any
-	if err := mode.Unmarshal(raw, &v); err != nil {
-		t.Fatal(err)
-	}
-	out, err := json.Marshal(stringKeys(v))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return len(out)
-}
-
-func stringKeys(v any) any {
-	switch x := v.(type) {
-	case map[any]any:
-		m := map[string]any{}
-		for k, e := range x {
-			m[fmt.Sprint(k)] = stringKeys(e)
-		}
-		return m
-	case []any:
-		for i := range x {
-			x[i] = stringKeys(x[i])
-		}
-	}
-	return v
-}
