Scheduling cycles that grow with the fleet, not with its square

Need: 4,000 machines are to be served. A cycle compared each of thousands of waiting tasks with each of thousands of machines, and looked through all waiting jobs for each of them: at 4,000 full machines with 40,000 waiting tasks it took 315 ms, each 300 ms.

Change: a pass keeps each kind's machines in the order in which a job would choose, per image; waiting jobs are kept by level and team; guarantees are checked in one go; a machine carries its own unacknowledged assignments. Also mended: a zone kept counting what was assigned to a machine that went before its owner acknowledged.

--- a/scheduler/assign.go
+++ b/scheduler/assign.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"junipershelf/job"
-	"junipershelf/partition"
 	"junipershelf/protocol"
 )
 
@@ -31,8 +30,9 @@
 			w.blocked = true
 			break
 		}
+		s.candidates.remove(s, m)
 		s.assign(entry, m, tasks, 0)
-		s.closeIfFull(m, ps)
+		s.candidates.restore(s, m, ps)
 		given += len(tasks)
 	}
 	if given > 0 {
@@ -42,16 +42,6 @@
 	return given
 }
 
-// closeIfFull takes a machine that can take no more off the pass's list.
-func (s *Scheduler) closeIfFull(m *Machine, ps pass) {
-	if s.hasRoom(m, ps) {
-		return
-	}
-	if i := slices.Index(s.openMachines, m); i >= 0 {
-		s.openMachines = slices.Delete(s.openMachines, i, i+1)
-	}
-}
-
 const (
 	spanBytes     = 14   // what a range of finished tasks takes in a record
 	minSpansLimit = 1900 // bytes that ranges may take even of a small value
@@ -88,11 +78,10 @@
 // machines with the image will do.
 func (s *Scheduler) chooseMachine(e *jobEntry, most int, ps pass, matched bool) (best *Machine, n int) {
 	c := s.newChoice(e, ps, matched)
-	bestScore := 0.0
-	for _, m := range s.openMachines {
-		if score, ok := c.score(m); ok && (best == nil || score > bestScore) {
-			best, bestScore = m, score
-		}
+	if e.live.IsService() || e.live.Spec.Shape == protocol.ShapeGang {
+		best = s.candidates.scan(c)
+	} else {
+		best = s.candidates.best(c)
 	}
 	switch {
 	case best == nil:
@@ -160,7 +149,7 @@
 	}
 	if !c.pass.freeRoom {
 		// The one where it is likely to start first.
-		wait := float64(c.queuedBefore(m)+1)/max(m.releaseRate, minRate) + fetch*c.fetchS
+		wait := float64(c.queuedBefore(m, l.Rank)+1)/max(m.releaseRate, minRate) + fetch*c.fetchS
 		return 1 / (1 + wait), true
 	}
 	score = baseScore - fetchScore*fetch - fullScore*m.FreeNow.CPUs/max(m.Capacity.CPUs, minCapacity)
@@ -170,24 +159,6 @@
 	return score, true
 }
 
-// queuedBefore is how many tasks of a machine's queue a task of the job would stand behind.
-func (c *choice) queuedBefore(m *Machine) int {
-	n := m.QueuedTasks
-	if c.entry.live.Rank >= protocol.FirstUnhurriedRank {
-		return n
-	}
-	for i := range m.Held {
-		h := &m.Held[i]
-		if h.Phase != partition.PhaseQueued {
-			continue
-		}
-		if l := c.jobs.Get(h.Job); l != nil && !l.IsService() && l.Rank > c.entry.live.Rank {
-			n -= h.Tasks.Len()
-		}
-	}
-	return max(n, 0)
-}
-
 // fetchPart is how much of a fetch of the job's image is still to come on a machine.
 func (c *choice) fetchPart(m *Machine) float64 {
 	switch {
@@ -227,7 +198,7 @@
 	l := entry.live
 	owner := &s.owners[m.Owner]
 	owner.assignmentSequence++
-	assignment := Assignment{Seq: owner.assignmentSequence, Job: entry.uid, Machine: m.ID, Gang: gang, resources: l.Resources(), team: l.Team, count: len(tasks)}
+	assignment := Assignment{Seq: owner.assignmentSequence, Job: entry.uid, Machine: m.ID, Gang: gang, resources: l.Resources(), team: l.Team, count: len(tasks), zone: m.Zone}
 	for _, i := range tasks {
 		assignment.Tasks.Add(i)
 	}
--- a/scheduler/cycle.go
+++ b/scheduler/cycle.go
@@ -73,17 +73,13 @@
 
 // runPass gives the machines of a pass out until they are full or nothing wants them.
 func (s *Scheduler) runPass(waiting, protected []*WaitingJob, ps pass) {
-	s.openMachines = s.openMachines[:0]
-	for _, m := range s.Machines() {
-		if m.Open() && !s.Sick[m.ID] && s.hasRoom(m, ps) {
-			s.openMachines = append(s.openMachines, m)
-		}
-	}
+	s.candidates.collect(s, ps)
 	for _, w := range waiting {
-		w.limited, w.blocked = false, false
+		w.blocked = false
 	}
-	for len(s.openMachines) > 0 {
-		w, order := s.nextServed(waiting, protected, ps)
+	order := newServiceOrder(waiting, len(s.Teams))
+	for s.candidates.count > 0 {
+		w, by := s.nextServed(&order, protected, ps)
 		if w == nil {
 			return
 		}
@@ -93,21 +89,21 @@
 		} else {
 			served = s.serveJob(w, ps)
 		}
-		s.servedCPUs[order] += float64(served) * w.Job.Spec.CPUs
-		if order == byProtection {
+		s.servedCPUs[by] += float64(served) * w.Job.Spec.CPUs
+		if by == byProtection {
 			s.Counts.StarvationProtected += uint64(served)
 		}
 	}
 }
 
 // nextServed picks the next job, by protection while that has had less than its share.
-func (s *Scheduler) nextServed(waiting, protected []*WaitingJob, ps pass) (*WaitingJob, int) {
+func (s *Scheduler) nextServed(order *serviceOrder, protected []*WaitingJob, ps pass) (*WaitingJob, int) {
 	if s.servedCPUs[byProtection] < protectedShare*(s.servedCPUs[byService]+s.servedCPUs[byProtection]) {
 		if w := s.nextProtected(protected, ps.beyondGuarantee); w != nil {
 			return w, byProtection
 		}
 	}
-	return s.nextJob(waiting, ps.beyondGuarantee), byService
+	return order.next(s, ps.beyondGuarantee), byService
 }
 
 // hasRoom tells whether a machine may take anything in a pass.
@@ -151,31 +147,6 @@
 	return nil
 }
 
-// nextJob takes the most pressing job; among equals the team that uses the least
-// of its share.
-func (s *Scheduler) nextJob(waiting []*WaitingJob, beyondGuarantee bool) *WaitingJob {
-	var best *WaitingJob
-	bestLevel, bestShare := 0, 0.0
-	for _, w := range waiting {
-		if w.blocked || w.limited || w.entry.freeCount <= 0 {
-			continue
-		}
-		level := w.Level()
-		if best != nil && level > bestLevel {
-			break
-		}
-		if !s.withinShare(w.Job, !beyondGuarantee) {
-			w.limited = true
-			continue
-		}
-		share := s.Teams[w.Team].shareUsed()
-		if best == nil || share < bestShare-1e-9 {
-			best, bestLevel, bestShare = w, level, share
-		}
-	}
-	return best
-}
-
 // withinShare tells whether a team may hold one more task of a job, within its guarantee or
 // its limit.
 func (s *Scheduler) withinShare(l *job.Live, guarantee bool) bool {
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -23,8 +23,9 @@
 	}
 	s.gangs++
 	for _, seat := range seats {
+		s.candidates.remove(s, seat.machine)
 		s.assign(e, seat.machine, []int{seat.task}, s.gangs)
-		s.closeIfFull(seat.machine, ps)
+		s.candidates.restore(s, seat.machine, ps)
 	}
 	return len(seats)
 }
--- a/scheduler/ledger.go
+++ b/scheduler/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"junipershelf/job"
@@ -22,6 +23,7 @@
 	resources job.Resources
 	team      int
 	count     int
+	zone      string // of the machine
 }
 
 // ownerState is what the leader has of an owner and has given it.
@@ -147,7 +149,7 @@
 func (s *Scheduler) updateMachine(owner int, state partition.MachineState, now time.Time) {
 	m := s.machines[state.ID]
 	if m == nil {
-		m = &Machine{}
+		m = s.newMachine(owner, state.ID)
 		s.machines[state.ID] = m
 		s.sortedMachines, s.sorted = append(s.sortedMachines, m), false
 		delete(s.removed, state.ID)
@@ -164,6 +166,19 @@
 	s.markChanged(m)
 }
 
+// newMachine makes a machine with what its owner was given for it and has not acknowledged:
+// it may have been gone for a moment.
+func (s *Scheduler) newMachine(owner int, id string) *Machine {
+	m := &Machine{}
+	for _, a := range s.owners[owner].unacked {
+		if a.Machine == id {
+			m.unacked = append(m.unacked, a)
+			m.pending += a.count
+		}
+	}
+	return m
+}
+
 // markChanged notes that owners are to be told of a machine.
 func (s *Scheduler) markChanged(m *Machine) {
 	s.version++
@@ -175,7 +190,7 @@
 	s.countHeld(m, -1)
 	s.countImages(m, -1)
 	delete(s.machines, m.ID)
-	s.sortedMachines = slices.DeleteFunc(s.sortedMachines, func(o *Machine) bool { return o == m })
+	m.gone, s.sorted = true, false
 	s.version++
 	s.removed[m.ID] = s.version
 	delete(s.failuresOf, m.ID)
@@ -199,17 +214,19 @@
 		entry.addHolder(i, by)
 	}
 	s.Teams[assignment.team].addUse(assignment.resources, float64(by*assignment.count))
+	if entry.zones != nil {
+		entry.zones[assignment.zone] += by * assignment.count
+	}
 	m := s.machines[assignment.Machine]
 	if m == nil {
 		return
 	}
 	m.pending += by * assignment.count
-	if entry.zones != nil {
-		entry.zones[m.Zone] += by * assignment.count
-	}
 	if by > 0 {
+		m.unacked = append(m.unacked, assignment)
 		s.countTaken(m, assignment.resources, assignment.count)
 	} else {
+		m.unacked = slices.DeleteFunc(m.unacked, func(a Assignment) bool { return a.Seq == assignment.Seq })
 		s.recountFree(m)
 	}
 	s.markChanged(m)
@@ -226,10 +243,8 @@
 			m.QueuedTasks += n
 		}
 	}
-	for _, a := range s.owners[m.Owner].unacked {
-		if a.Machine == m.ID {
-			s.countTaken(m, a.resources, a.count)
-		}
+	for _, a := range m.unacked {
+		s.countTaken(m, a.resources, a.count)
 	}
 }
 
@@ -239,7 +254,11 @@
 // Machines gives all machines by id.
 func (s *Scheduler) Machines() []*Machine {
 	if !s.sorted {
-		sort.Slice(s.sortedMachines, func(i, j int) bool { return s.sortedMachines[i].ID < s.sortedMachines[j].ID })
+		s.sortedMachines = slices.DeleteFunc(s.sortedMachines, func(m *Machine) bool { return m.gone })
+		slices.SortFunc(s.sortedMachines, func(a, b *Machine) int { return strings.Compare(a.ID, b.ID) })
+		for i, m := range s.sortedMachines {
+			m.place = i
+		}
 		s.sorted = true
 	}
 	return s.sortedMachines
@@ -286,11 +305,7 @@
 
 // refresh takes the mirror's jobs into the ledger and drops what is over.
 func (s *Scheduler) refresh() {
-	for uid := range s.jobs.Jobs {
-		if e := s.jobEntry(uid); !e.guaranteeChecked {
-			s.checkGuarantee(e)
-		}
-	}
+	s.checkGuarantees()
 	for uid, e := range s.entries {
 		if s.jobs.Get(uid) == nil {
 			e.live = nil
@@ -304,24 +319,6 @@
 	}
 }
 
-// checkGuarantee notes whether a job lies within its team's guarantee together with the team's
-// earlier jobs that are not over: then it need not wait for anybody.
-func (s *Scheduler) checkGuarantee(e *jobEntry) {
-	e.guaranteeChecked = true
-	l := e.live
-	if l == nil || l.Team < 0 {
-		return
-	}
-	var sum job.Resources
-	for _, o := range s.jobs.Jobs {
-		if o.Team == l.Team && (o.SubmittedMS < l.SubmittedMS || o.SubmittedMS == l.SubmittedMS && o.Spec.UID <= l.Spec.UID) {
-			n := float64(o.Spec.Tasks)
-			sum = sum.Plus(job.Resources{CPUs: o.Spec.CPUs * n, Accelerators: o.Spec.Accelerators * n})
-		}
-	}
-	e.guaranteed = sum.FitsIn(s.Teams[l.Team].Guarantee)
-}
-
 // IsService tells whether a job's tasks run until it is cancelled.
 func (s *Scheduler) IsService(uid string) bool {
 	l := s.jobs.Get(uid)
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -23,6 +23,10 @@
 	maxQueued   int     // tasks that may wait there; of this cycle
 	pending     int     // tasks assigned that its owner has not acknowledged
 	version     uint64
+	place       int          // among all machines by id
+	closed      bool         // it can take no more in this pass
+	unacked     []Assignment // given to its owner and not acknowledged
+	gone        bool         // it is no machine of the ledger any more
 }
 
 // IdleSeconds is how long a machine has held nothing, below 0 if it holds something.
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -27,7 +27,6 @@
 	target     time.Time
 	cpuSeconds float64 // CPU seconds that wait
 	blocked    bool
-	limited    bool
 }
 
 // Level orders the waiting jobs: by priority, and in it those that can be in time
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -88,15 +88,15 @@
 	images         map[string]int32
 	imageCount     map[int32]int // machines that have an image
 
-	runTimes     map[string]*times
-	moves        []partition.Move
-	preempted    map[job.Task]time.Time
-	failuresOf   map[string]map[job.Task]bool
-	Sick         map[string]bool
-	openMachines []*Machine // of the pass: machines that may take more
-	gangs        uint64
-	servedCPUs   [2]float64 // CPUs given by the order of service, and to what is protected
-	Counts       Counts
+	runTimes   map[string]*times
+	moves      []partition.Move
+	preempted  map[job.Task]time.Time
+	failuresOf map[string]map[job.Task]bool
+	Sick       map[string]bool
+	candidates candidates // of the pass
+	gangs      uint64
+	servedCPUs [2]float64 // CPUs given by the order of service, and to what is protected
+	Counts     Counts
 }
 
 // Counts are the leader's totals.
