--- a/cloud/cloud.go
+++ b/cloud/cloud.go
@@ -28,8 +28,12 @@
 	call    *httpcall.Client
 	rps     float64
 	limiter *rate.Limiter
+	most    int // machines that a list may name
 }
 
+// maxReply bounds an answer: a list's page names 500 machines.
+const maxReply = 1 << 20
+
 // Timeout is how long a call may take.
 const Timeout = 4 * time.Second
 
@@ -39,9 +43,9 @@
 	MaxReturn = 100
 )
 
-// New makes a client.
-func New(dial httpcall.Dial, addr string, lim settings.CloudLimits) *Client {
-	c := &Client{call: httpcall.New(dial, addr, 12), rps: lim.RPS, limiter: rate.NewLimiter(1, 1)}
+// New makes a client that lists at most so many machines.
+func New(dial httpcall.Dial, addr string, lim settings.CloudLimits, most int) *Client {
+	c := &Client{call: httpcall.New(dial, addr, 12, maxReply), most: most, rps: lim.RPS, limiter: rate.NewLimiter(1, 1)}
 	c.SetShare(1, false)
 	return c
 }
@@ -79,6 +83,16 @@
 	return code, fmt.Errorf("%w: status %d", ErrUnknown, code)
 }
 
+// ListInterval is the shortest pause between two lists that leaves most of the calls to
+// rentals: the pages of a large fleet would take them all.
+func (c *Client) ListInterval(machines int) time.Duration {
+	pages := float64(machines/listPage + 1)
+	return time.Duration(pages / (listCallsShare * float64(c.limiter.Limit())) * float64(time.Second))
+}
+
+// listCallsShare is the part of a node's calls that lists may take.
+const listCallsShare = 0.3
+
 // MachineTypes reads the catalogue.
 func (c *Client) MachineTypes(ctx context.Context) ([]protocol.MachineType, error) {
 	var f protocol.Catalogue
@@ -126,22 +140,28 @@
 	return err
 }
 
-// List reads the whole machine list.
-func (c *Client) List(ctx context.Context) ([]protocol.RentedMachine, error) {
-	var all []protocol.RentedMachine
+// listPage is the most machines on a page of the list.
+const listPage = 500
+
+// List reads the machine list. Cut tells that it names more machines than the memory can
+// hold, of which the oldest are given.
+func (c *Client) List(ctx context.Context) (all []protocol.RentedMachine, cut bool, err error) {
 	since := ""
 	for {
-		path := "/machines?most=500"
+		path := fmt.Sprintf("/machines?most=%d", listPage)
 		if since != "" {
 			path += "&since=" + url.QueryEscape(since)
 		}
 		var page protocol.MachineList
 		if _, err := c.do(ctx, "GET", path, nil, &page); err != nil {
-			return nil, err
+			return nil, false, err
 		}
 		all = append(all, page.Machines...)
+		if len(all) > c.most {
+			return all[:c.most], true, nil
+		}
 		if !page.HasNext || len(page.Machines) == 0 {
-			return all, nil
+			return all, false, nil
 		}
 		since = page.Machines[len(page.Machines)-1].ID
 	}
--- a/cmd/junipershelf/main.go
+++ b/cmd/junipershelf/main.go
@@ -23,6 +23,9 @@
 
 const version = "0.1.0"
 
+// maxShown bounds the answer of show: a few hundred bytes for each machine of a node.
+const maxShown = 64 << 20
+
 // The exit codes.
 const (
 	exitFailed   = 1
@@ -85,7 +88,7 @@
 }
 
 func show(addr string) error {
-	a, err := peer.NewClient(nil, addr).Show(context.Background())
+	a, err := peer.NewClient(nil, addr, peer.ClientLimits{Connections: 1, ReplyBytes: maxShown}).Show(context.Background())
 	if err != nil {
 		return err
 	}
--- a/controller/cancellations.go
+++ b/controller/cancellations.go
@@ -7,9 +7,11 @@
 	"sync"
 	"time"
 
+	"junipershelf/internal/bounds"
 	"junipershelf/job"
 	"junipershelf/peer"
 	"junipershelf/settings"
+	"junipershelf/sizing"
 )
 
 // A quorum confirmation by all peers is worth as much as one by the state service only if it
@@ -19,10 +21,8 @@
 // entries that the other side lacks.
 
 const (
-	maxLogEntries     = 4096 // entries that a log holds
-	maxMessageEntries = 256  // of them in one message
-	replicationWait   = 150 * time.Millisecond
-	pingInterval      = time.Second
+	replicationWait = 150 * time.Millisecond
+	pingInterval    = time.Second
 	// peerTimeout: a peer that was heard of within this is reachable.
 	peerTimeout = 2500 * time.Millisecond
 )
@@ -33,6 +33,10 @@
 	id      uint64 // of this process's log, never 0
 	first   uint64
 	entries []peer.Cancellation
+
+	maxEntries        int // that the log holds
+	maxMessageEntries int // of them in one message
+	full              func()
 }
 
 // newLogID draws an id, never 0.
@@ -40,8 +44,9 @@
 
 // add appends an entry and drops the oldest ones when there are too many.
 func (l *cancellationLog) add(e peer.Cancellation) {
-	if len(l.entries) >= maxLogEntries {
-		n := maxLogEntries / 4
+	if len(l.entries) >= l.maxEntries {
+		l.full()
+		n := max(l.maxEntries/4, 1)
 		l.entries = append(l.entries[:0], l.entries[n:]...)
 		l.first += uint64(n)
 	}
@@ -58,7 +63,7 @@
 		return l.end(), nil
 	}
 	entries = l.entries[known-l.first:]
-	return known, slices.Clone(entries[:min(len(entries), maxMessageEntries)])
+	return known, slices.Clone(entries[:min(len(entries), l.maxMessageEntries)])
 }
 
 // peerLog is how far two nodes know each other's logs.
@@ -112,17 +117,20 @@
 // taken after the controller's, never before.
 type cancellationReplication struct {
 	requests chan chan struct{} // rounds that are asked for, see replicateNow
+	full     func()             // is called for each round that finds no room
 
 	mu    sync.Mutex
 	log   cancellationLog
 	peers map[string]*peerState
 }
 
-func newCancellationReplication(peers []settings.Peer) *cancellationReplication {
+func newCancellationReplication(peers []settings.Peer, limits sizing.Bounds, met *boundsMet) *cancellationReplication {
 	r := &cancellationReplication{
-		requests: make(chan chan struct{}, maxPolls),
-		log:      cancellationLog{id: newLogID()},
-		peers:    map[string]*peerState{},
+		requests: make(chan chan struct{}, limits.Polls),
+		full:     func() { met.met(bounds.Polls) },
+		log: cancellationLog{id: newLogID(), maxEntries: limits.LogEntries, maxMessageEntries: limits.MessageEntries,
+			full: func() { met.met(bounds.Cancellations) }},
+		peers: map[string]*peerState{},
 	}
 	for _, p := range peers {
 		r.peers[p.NodeName] = &peerState{}
@@ -269,6 +277,7 @@
 	select {
 	case c.replicas.requests <- done:
 	default:
+		c.replicas.full()
 		return
 	}
 	select {
--- a/controller/cancellations_test.go
+++ b/controller/cancellations_test.go
@@ -14,13 +14,19 @@
 // Whatever is lost, late, dropped from a full log or forgotten by a restart: a node that
 // holds a peer's cancellations for known knows each one that the peer has told anybody, in
 // this run or an earlier one, before it answered. The plain model is the set of all of them.
+// The sizes of the logs that are drawn.
+const (
+	maxLogEntries     = 4096
+	maxMessageEntries = 256
+)
+
 func TestCancellationsAreKnownWhenTheySaySo(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var clock time.Duration
 		at := func() time.Time { clock += time.Millisecond; return time.Unix(0, int64(clock)) }
 		stored := map[string]bool{} // what stands in the state service
 		known := map[string]bool{}  // at the asker
-		log, l := &cancellationLog{id: 1}, &peerLog{}
+		log, l := &cancellationLog{id: 1, maxEntries: maxLogEntries, maxMessageEntries: maxMessageEntries, full: func() {}}, &peerLog{}
 		toLog := map[string]bool{}
 		var fresh time.Time
 		var late []peer.Ping
@@ -43,7 +49,7 @@
 				fresh = at()
 				maps.Copy(known, stored)
 			case "restart":
-				*log = cancellationLog{id: log.id + 1}
+				log = &cancellationLog{id: log.id + 1, maxEntries: maxLogEntries, maxMessageEntries: maxMessageEntries, full: func() {}}
 			case "late":
 				if len(late) > 0 {
 					l.take(&late[0], at(), fresh, func(e peer.Cancellation) { known[e.UID] = true })
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -17,6 +17,7 @@
 	"junipershelf/api"
 	"junipershelf/cloud"
 	"junipershelf/fleet"
+	"junipershelf/internal/bounds"
 	"junipershelf/internal/httpcall"
 	"junipershelf/job"
 	"junipershelf/membership"
@@ -25,6 +26,7 @@
 	"junipershelf/policy"
 	"junipershelf/scheduler"
 	"junipershelf/settings"
+	"junipershelf/sizing"
 	"junipershelf/statestore"
 )
 
@@ -48,13 +50,15 @@
 	redirects *redirects
 	stats     *statistics
 	once      *onceLog
+	bounds    *boundsMet
+	limits    sizing.Bounds
 
 	commitWanted chan struct{} // has a value when something may be to commit
 
 	// mu guards all that decisions rest on. It is held for decisions only, never for I/O.
 	mu            sync.Mutex
 	jobs          *job.Mirror
-	finals        map[string]job.Final
+	finals        *finalStates
 	current       viewState
 	leader        leaderState
 	commitSettled chan struct{} // closed and renewed after each commit
@@ -109,20 +113,23 @@
 	own := *set
 	own.Facts.State = set.Facts.State.Effective()
 	set = &own
+	limits, met := sizing.BoundsFor(set.Facts), newBoundsMet(log)
 	c := &Controller{
 		settings: set, policy: pol, log: log, net: nw,
-		store:         statestore.New(nw.Dial, set.Outside.State, set.Facts.State),
-		cloud:         cloud.New(nw.Dial, set.Outside.Cloud, set.Facts.Cloud),
+		store:         statestore.New(nw.Dial, set.Outside.State, set.Facts.State, limits.ReplyBytes),
+		cloud:         cloud.New(nw.Dial, set.Outside.Cloud, set.Facts.Cloud, limits.Machines),
 		peers:         map[string]*peer.Client{},
 		teams:         map[string]int{},
 		catalogue:     newCatalogue(),
 		budgets:       newUserBudgets(set.Facts.State),
-		redirects:     newRedirects(),
+		redirects:     newRedirects(limits.Machines, func() { met.met(bounds.Redirects) }),
 		stats:         &statistics{},
-		once:          newOnceLog(),
+		once:          newOnceLog(limits.Machines*loggedPerMachine, met.met),
+		bounds:        met,
+		limits:        limits,
 		commitWanted:  make(chan struct{}, 1),
 		commitSettled: make(chan struct{}),
-		finals:        map[string]job.Final{},
+		finals:        newFinalStates(maxFinals, met.met),
 		current:       viewState{runningTasks: map[string]int{}, loaded: make(chan struct{})},
 	}
 	for i, t := range set.Facts.Teams {
@@ -130,13 +137,13 @@
 	}
 	names := []string{set.NodeName}
 	for _, p := range set.Peers {
-		c.peers[p.NodeName] = peer.NewClient(nw.Dial, p.Addr)
+		c.peers[p.NodeName] = peer.NewClient(nw.Dial, p.Addr, peer.ClientLimits{Connections: limits.PeerCalls, ReplyBytes: limits.ReplyBytes})
 		names = append(names, p.NodeName)
 	}
 	slices.Sort(names)
 	c.jobs = job.NewMirror(c.teams)
-	c.replicas = newCancellationReplication(set.Peers)
-	c.polls = newPollConfirmer(c.store, c.revisionOf)
+	c.replicas = newCancellationReplication(set.Peers, limits, met)
+	c.polls = newPollConfirmer(c.store, c.revisionOf, limits.Polls, func() { met.met(bounds.Polls) })
 	// Until a view tells who is there.
 	c.store.SetShare(len(names), false)
 	c.cloud.SetShare(len(names), false)
@@ -175,6 +182,7 @@
 		UnreportedLimit: 2 * c.workerLease,
 		Settle:          settings.Seconds(c.policy.SettleS),
 		SpareRoom:       c.policy.SpareRoom,
+		MaxMachines:     c.limits.Machines,
 	})
 	p.Catalogue = c.catalogue.list()
 	return p
@@ -185,23 +193,15 @@
 	addr     string
 	handler  http.Handler
 	maxConns int
+	bound    bounds.Name
 }
 
-// Parts of the process's sockets: most are for users and workers, a few for other nodes,
-// and the rest for its own calls.
-const (
-	apiSocketShare  = 0.75
-	peerSocketShare = 0.1
-	minConns        = 8
-)
-
 // Run serves until the context ends or a listener fails.
 func (c *Controller) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	sockets := float64(c.settings.Facts.Resources.MaxSockets)
 	for _, s := range []server{
-		{c.settings.APIAddr, api.Handler(c), int(sockets * apiSocketShare)},
-		{c.settings.InternalAddr, peer.Handler(c, c.log), int(sockets * peerSocketShare)},
+		{c.settings.APIAddr, api.Handler(c), c.limits.Connections, bounds.Connections},
+		{c.settings.InternalAddr, peer.Handler(c, c.log, c.limits.ReplyBytes), c.limits.PeerConnections, bounds.PeerConnections},
 	} {
 		if err := c.serve(ctx, g, s); err != nil {
 			return err
@@ -222,12 +222,12 @@
 	if err != nil {
 		return err
 	}
+	limited := newLimitedListener(l, s.maxConns, func() { c.bounds.met(s.bound) })
 	srv := &http.Server{
-		Handler: s.handler, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 15 * time.Second,
+		Handler: limited.shareSlots(s.handler), ConnState: limited.track, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 15 * time.Second,
 		WriteTimeout: 15 * time.Second, IdleTimeout: 60 * time.Second, MaxHeaderBytes: 8 << 10,
 		ErrorLog: slog.NewLogLogger(c.log.Handler(), slog.LevelDebug),
 	}
-	limited := newLimitedListener(l, max(s.maxConns, minConns))
 	g.Go(func() error { return srv.Serve(limited) })
 	g.Go(func() error { <-ctx.Done(); return srv.Close() })
 	return nil
--- /dev/null
+++ b/controller/finals.go
@@ -0,0 +1,42 @@
+package controller
+
+import (
+	"junipershelf/internal/bounds"
+	"junipershelf/job"
+)
+
+// maxFinals bounds the final states that are kept in memory, about 100 bytes each. The others
+// are read when somebody asks.
+const maxFinals = 50000
+
+// finalStates keeps the final states that were met last. They never change. When half of what
+// it may hold has come up, the half before that goes: once all of them went, and each user
+// who polled then cost a read.
+type finalStates struct {
+	most              int
+	full              func()
+	current, previous map[string]job.Final
+}
+
+func newFinalStates(most int, met func(bounds.Name)) *finalStates {
+	return &finalStates{most: most, full: func() { met(bounds.Finals) }, current: map[string]job.Final{}}
+}
+
+// get finds a job's final state.
+func (f *finalStates) get(uid string) (final job.Final, known bool) {
+	if final, known = f.current[uid]; !known {
+		final, known = f.previous[uid]
+	}
+	return final, known
+}
+
+// put keeps a job's final state.
+func (f *finalStates) put(uid string, final job.Final) {
+	if len(f.current) >= f.most/2 {
+		if len(f.previous) > 0 {
+			f.full()
+		}
+		f.previous, f.current = f.current, map[string]job.Final{}
+	}
+	f.current[uid] = final
+}
--- a/controller/listener.go
+++ b/controller/listener.go
@@ -2,23 +2,39 @@
 
 import (
 	"net"
+	"net/http"
 	"sync"
 )
 
+// closeAboveShare: once more than this part of the slots is taken, answers close their
+// connections. Workers that report seldom then share the slots instead of keeping one each.
+const closeAboveShare = 0.8
+
 // limitedListener accepts no more connections than it has slots for, so that the process
-// keeps sockets for its own calls.
+// keeps sockets and memory for its own calls. Nobody is kept waiting by connections that are
+// open and not in use: one of those is closed for each that finds no slot.
 type limitedListener struct {
 	net.Listener
 	slots chan struct{}
+	full  func() // is called for each connection that finds no slot
+
+	mu   sync.Mutex
+	idle map[net.Conn]bool
 }
 
-func newLimitedListener(l net.Listener, maxConns int) *limitedListener {
-	return &limitedListener{Listener: l, slots: make(chan struct{}, maxConns)}
+func newLimitedListener(l net.Listener, maxConns int, full func()) *limitedListener {
+	return &limitedListener{Listener: l, slots: make(chan struct{}, maxConns), full: full, idle: map[net.Conn]bool{}}
 }
 
 // Accept waits for a slot and then for a connection.
 func (l *limitedListener) Accept() (net.Conn, error) {
-	l.slots <- struct{}{}
+	select {
+	case l.slots <- struct{}{}:
+	default:
+		l.full()
+		l.closeIdle()
+		l.slots <- struct{}{}
+	}
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		<-l.slots
@@ -27,6 +43,39 @@
 	return &limitedConn{Conn: conn, release: sync.OnceFunc(func() { <-l.slots })}, nil
 }
 
+// track notes which connections are not in use.
+func (l *limitedListener) track(conn net.Conn, state http.ConnState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if state == http.StateIdle {
+		l.idle[conn] = true
+	} else {
+		delete(l.idle, conn)
+	}
+}
+
+// closeIdle closes a connection that is not in use.
+func (l *limitedListener) closeIdle() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.idle {
+		delete(l.idle, conn)
+		conn.Close()
+		return
+	}
+}
+
+// shareSlots closes connections with their answers while slots are scarce.
+func (l *limitedListener) shareSlots(next http.Handler) http.Handler {
+	limit := int(float64(cap(l.slots)) * closeAboveShare)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if len(l.slots) > limit {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // limitedConn gives its slot back when it is closed.
 type limitedConn struct {
 	net.Conn
--- a/controller/mailbox.go
+++ b/controller/mailbox.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"junipershelf/internal/bounds"
 	"junipershelf/internal/httpcall"
 	"junipershelf/membership"
 	"junipershelf/partition"
@@ -19,13 +20,14 @@
 // way a call or its answer went, or whether both did.
 
 const (
-	directRetry    = 2 * time.Second        // a call that failed is tried directly again after this
-	mailboxTimeout = 4 * time.Second        // an answer comes within this, or the call is made anew
-	mailboxWatch   = 300 * time.Millisecond // a view that is over holds the next one's first call up no longer
-	mailboxListen  = 10 * time.Second       // one watch for calls
-	listenRetry    = 250 * time.Millisecond
-	listRetry      = time.Second
-	leaderCheck    = 300 * time.Millisecond // how often a node looks whether it has come to lead
+	directRetry       = 2 * time.Second // a call that failed is tried directly again after this
+	mailboxTimeout    = 4 * time.Second // an answer to a short call comes within this, or the call is made anew
+	maxMailboxTimeout = time.Minute
+	mailboxWatch      = 300 * time.Millisecond // a view that is over holds the next one's first call up no longer
+	mailboxListen     = 10 * time.Second       // one watch for calls
+	listenRetry       = 250 * time.Millisecond
+	listRetry         = time.Second
+	leaderCheck       = 300 * time.Millisecond // how often a node looks whether it has come to lead
 
 	mailboxChangesShare = 0.1 // of the changes may be messages
 	changesPerCall      = 2   // a call and its answer, at the least
@@ -40,6 +42,23 @@
 	return max(syncInterval, time.Duration(float64(time.Second)/perSecond))
 }
 
+// mailboxLimit is how long a call of so many parts may take, with an answer of as many: each
+// part is a change of the state service, and where those are few a large fleet's first call
+// takes longer than a small one's.
+func (c *Controller) mailboxLimit(parts int) time.Duration {
+	changes := float64(2*parts) / c.store.ChangeRate()
+	return min(mailboxTimeout+time.Duration(changes*float64(time.Second)), maxMailboxTimeout)
+}
+
+// splitMessage makes the parts of a message.
+func (c *Controller) splitMessage(body any, view membership.View, caller int, call uint64) ([]peer.MessagePart, error) {
+	parts, err := peer.SplitMessage(body, view.Number, caller, call, c.store.ValueBytes())
+	if errors.Is(err, peer.ErrMessageTooLarge) {
+		c.bounds.met(bounds.Messages)
+	}
+	return parts, err
+}
+
 // postMessage writes a message's parts as long as their view holds, by as many transactions
 // as they need. Only a call or an answer that is whole counts, in whatever order it came.
 func (c *Controller) postMessage(ctx context.Context, view membership.View, prefix string, parts []peer.MessagePart) (first uint64, err error) {
@@ -80,12 +99,12 @@
 
 // syncByMailbox makes an owner's call through the state service.
 func (c *Controller) syncByMailbox(ctx context.Context, p *partition.Partition, view membership.View, call peer.Sync) (reply peer.SyncReply, err error) {
-	ctx, cancel := context.WithTimeout(ctx, mailboxTimeout)
-	defer cancel()
-	parts, err := peer.SplitMessage(call, view.Number, call.Index, call.Update.Sequence, c.store.ValueBytes())
+	parts, err := c.splitMessage(call, view, call.Index, call.Update.Sequence)
 	if err != nil {
 		return reply, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, c.mailboxLimit(len(parts)))
+	defer cancel()
 	revision, err := c.postMessage(ctx, view, peer.CallPrefix, parts)
 	if err != nil {
 		return reply, err
@@ -202,7 +221,7 @@
 			&protocol.DecodeError{Source: peer.MailboxPrefix(peer.CallPrefix, part.Caller), Sender: sender, Err: err})
 		return
 	}
-	parts, err := peer.SplitMessage(l.c.Sync(call), view.Number, part.Caller, part.Call, l.c.store.ValueBytes())
+	parts, err := l.c.splitMessage(l.c.Sync(call), view, part.Caller, part.Call)
 	if err == nil {
 		_, err = l.c.postMessage(ctx, view, peer.ReplyPrefix, parts)
 	}
--- a/controller/oncelog.go
+++ b/controller/oncelog.go
@@ -4,31 +4,41 @@
 	"errors"
 	"sync"
 
+	"junipershelf/internal/bounds"
 	"junipershelf/protocol"
 )
 
-// maxLogged bounds what a onceLog remembers.
-const maxLogged = 5000
+// loggedPerMachine is how many lines are remembered for each machine that the memory can hold.
+const loggedPerMachine = 2
 
-// onceLog keeps lines from being logged over and over.
+// onceLog keeps lines from being logged over and over. When half of what it may remember has
+// come up, the half before that is forgotten.
 type onceLog struct {
-	mu     sync.Mutex
-	logged map[string]bool
+	most int
+	full func()
+
+	mu                sync.Mutex
+	current, previous map[string]bool
 }
 
-func newOnceLog() *onceLog { return &onceLog{logged: map[string]bool{}} }
+func newOnceLog(most int, met func(bounds.Name)) *onceLog {
+	return &onceLog{most: most, full: func() { met(bounds.LoggedLines) }, current: map[string]bool{}}
+}
 
 // first tells whether this is the first time that a line is to be logged.
 func (l *onceLog) first(line string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.logged[line] {
+	if l.current[line] || l.previous[line] {
 		return false
 	}
-	if len(l.logged) >= maxLogged {
-		clear(l.logged)
+	if len(l.current) >= l.most/2 {
+		if len(l.previous) > 0 {
+			l.full()
+		}
+		l.previous, l.current = l.current, map[string]bool{}
 	}
-	l.logged[line] = true
+	l.current[line] = true
 	return true
 }
 
--- a/controller/polls.go
+++ b/controller/polls.go
@@ -22,7 +22,6 @@
 )
 
 const (
-	maxPolls = 512
 	// maxConfirmations is how often a poll takes part in transactions that fail for others.
 	maxConfirmations = 2
 	// pollShare is the part of a node's requests that confirmations may use.
@@ -43,10 +42,13 @@
 	store      *statestore.Client
 	revisionOf func(uid string) uint64 // of a live job in the mirror, 0: it has none
 	waiting    chan *poll
+	full       func() // is called for each poll that finds no room
 }
 
-func newPollConfirmer(store *statestore.Client, revisionOf func(uid string) uint64) *pollConfirmer {
-	return &pollConfirmer{store: store, revisionOf: revisionOf, waiting: make(chan *poll, maxPolls)}
+// newPollConfirmer makes a confirmer for so many polls: as many as there are connections on
+// which one can come.
+func newPollConfirmer(store *statestore.Client, revisionOf func(uid string) uint64, most int, full func()) *pollConfirmer {
+	return &pollConfirmer{store: store, revisionOf: revisionOf, waiting: make(chan *poll, most), full: full}
 }
 
 // confirm asks whether what the mirror shows of a job is the present state.
@@ -55,6 +57,7 @@
 	select {
 	case p.waiting <- q:
 	default:
+		p.full()
 		return verdictRefused
 	}
 	select {
--- a/controller/redirects.go
+++ b/controller/redirects.go
@@ -1,26 +1,28 @@
 package controller
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
 
-const (
-	// returnWithin: a worker that comes back within this after it was sent to its owner
-	// cannot reach the owner.
-	returnWithin = 10 * time.Second
-	// maxRedirects bounds how many workers are remembered.
-	maxRedirects = 5000
-)
+// returnWithin: a worker that comes back within this after it was sent to its owner
+// cannot reach the owner.
+const returnWithin = 10 * time.Second
 
 // redirects remembers the workers whose misdirected reports were answered with their
 // owner's name.
 type redirects struct {
+	most int // workers that are remembered: as many as the fleet may have
+	full func()
+
 	mu   sync.Mutex
 	last map[string]time.Time
 }
 
-func newRedirects() *redirects { return &redirects{last: map[string]time.Time{}} }
+func newRedirects(most int, full func()) *redirects {
+	return &redirects{most: most, full: full, last: map[string]time.Time{}}
+}
 
 // note remembers a misdirected report and tells whether its worker was sent away a moment
 // ago already.
@@ -28,9 +30,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	last, known := r.last[machine]
-	r.last[machine] = now
-	if len(r.last) > maxRedirects {
-		clear(r.last)
+	if !known && len(r.last) >= r.most {
+		maps.DeleteFunc(r.last, func(_ string, at time.Time) bool { return now.Sub(at) >= returnWithin })
+		if len(r.last) >= r.most {
+			r.full()
+			return false
+		}
 	}
+	r.last[machine] = now
 	return known && now.Sub(last) < returnWithin
 }
--- a/controller/rentals.go
+++ b/controller/rentals.go
@@ -8,6 +8,7 @@
 
 	"junipershelf/cloud"
 	"junipershelf/fleet"
+	"junipershelf/internal/bounds"
 	"junipershelf/partition"
 	"junipershelf/protocol"
 	"junipershelf/scheduler"
@@ -86,15 +87,18 @@
 			pause = followerListCheck
 			continue
 		}
-		machines, err := c.cloud.List(ctx)
+		machines, cut, err := c.cloud.List(ctx)
 		if err != nil {
 			pause = cloudRetry
 			continue
 		}
+		if cut {
+			c.bounds.met(bounds.MachineList)
+		}
 		c.mu.Lock()
 		planner.ObserveList(time.Now(), machines)
 		c.mu.Unlock()
-		pause = interval
+		pause = max(interval, c.cloud.ListInterval(len(machines)))
 	}
 }
 
--- a/controller/statistics.go
+++ b/controller/statistics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"runtime"
 	"strings"
 	"sync"
@@ -62,6 +63,8 @@
 // logStatistics logs what the node's machines and budgets are used for. The caller holds
 // the lock.
 func (c *Controller) logStatistics() {
+	c.collectBounds()
+	c.dropOverJobs()
 	p := c.current.partition
 	if p == nil {
 		return
@@ -80,7 +83,14 @@
 		"cycles", work.cycles, "cycle_ms", work.longest.cycle.Milliseconds(),
 		"syncs", work.syncs, "via_mailbox", work.viaMailbox, "reports", work.reports, "reports_held", work.reportsHeld,
 		"machines", machines, "tasks", tasks, "uncompacted", uncompacted, "fill", int(100*p.ShardFill()),
-		"polls_refused", c.budgets.takeRefused(), "heap_mb", mem.HeapInuse>>20, "goroutines", runtime.NumGoroutine())
+		"polls_refused", c.budgets.takeRefused(), "heap_mb", mem.HeapInuse>>20, "goroutines", runtime.NumGoroutine(),
+		"bounds", c.bounds.take())
+}
+
+// dropOverJobs drops the counts of jobs that are over. The leader tells no end of a job, so
+// they stayed for as long as the view did. The caller holds the lock.
+func (c *Controller) dropOverJobs() {
+	maps.DeleteFunc(c.current.runningTasks, func(uid string, _ int) bool { return c.jobs.Get(uid) == nil })
 }
 
 // logOrdinaryPath logs the counts of the design's ordinary path since the partition was
--- a/controller/sync.go
+++ b/controller/sync.go
@@ -145,9 +145,9 @@
 		c.runCycle(now)
 	}
 	reply.Assignments = l.scheduler.Unacknowledged(q.Index)
-	reply.FleetBase = q.FleetVersion
-	reply.Fleet, reply.FleetRemoved, reply.FleetVersion = l.scheduler.FleetSince(q.FleetVersion)
-	reply.Running = l.scheduler.RunningSince(q.FleetVersion)
+	reply.FleetBase = l.scheduler.KnownVersion(q.FleetVersion)
+	reply.Fleet, reply.FleetRemoved, reply.FleetVersion = l.scheduler.FleetSince(reply.FleetBase)
+	reply.Running = l.scheduler.RunningSince(reply.FleetBase)
 	reply.Drain, reply.Discard = c.machinesOf(q.Index, l.drain), c.machinesOf(q.Index, l.discard)
 	reply.Stop = l.scheduler.Preemptions(q.Index)
 	reply.PlaceableWork = s.placeableWork
--- a/controller/users.go
+++ b/controller/users.go
@@ -23,8 +23,6 @@
 	maxCancelAttempts = 6
 	// recordGrowth is how much a job's record may grow, by its finished tasks.
 	recordGrowth = 800
-	// maxFinals bounds the final states that are kept in memory.
-	maxFinals = 50000
 	// roundingError is allowed where a need is compared with a team's limit.
 	roundingError = 1e-6
 )
@@ -98,7 +96,7 @@
 func (c *Controller) rememberedFinal(uid string) (final *job.Final, ended bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if f, known := c.finals[uid]; known {
+	if f, known := c.finals.get(uid); known {
 		return &f, true
 	}
 	return nil, c.jobs.HasEnded(uid)
@@ -113,13 +111,10 @@
 
 // keepFinal is rememberFinal for a caller that holds the lock.
 func (c *Controller) keepFinal(uid string, f job.Final) {
-	if _, known := c.finals[uid]; known {
+	if _, known := c.finals.get(uid); known {
 		return
 	}
-	if len(c.finals) > maxFinals {
-		clear(c.finals)
-	}
-	c.finals[uid] = f
+	c.finals.put(uid, f)
 	c.jobs.Remove(uid, time.Now())
 	if f.Status == job.StatusCancelled {
 		c.replicas.record(uid, f.Done)
@@ -225,7 +220,7 @@
 // call, and must not wait for a state service that is out.
 func (c *Controller) RejectSubmission(ctx context.Context, uid, why string) api.Response {
 	c.mu.Lock()
-	_, known := c.finals[uid]
+	_, known := c.finals.get(uid)
 	known = known || c.jobs.Get(uid) != nil || c.jobs.HasEnded(uid)
 	c.mu.Unlock()
 	if known {
--- a/controller/view.go
+++ b/controller/view.go
@@ -161,6 +161,7 @@
 		ValueBytes:         c.store.ValueBytes(),
 		BucketOf:           view.BucketOf,
 		CacheGB:            c.catalogue.cacheGB,
+		MaxMachines:        c.limits.Machines,
 	}
 }
 
--- a/fleet/drain.go
+++ b/fleet/drain.go
@@ -13,20 +13,31 @@
 // idleMachines lists those that have been idle for long enough and that nothing that waits
 // could use.
 func (p *Planner) idleMachines(now time.Time, s *scheduler.Scheduler, waiting []*scheduler.WaitingJob) (idle []string) {
+	useful := map[Offer]bool{}
 	for _, m := range s.Machines() {
 		if m.Leaving || !m.Reported || m.IdleSeconds(now) < p.idleLimitS(m.MachineType) {
 			continue
 		}
-		useful := slices.ContainsFunc(waiting, func(w *scheduler.WaitingJob) bool {
-			return job.AllowsMachine(&w.Job.Spec, m.MachineType, m.Zone, m.Spot) && w.Job.Resources().FitsIn(m.Capacity) && s.WithinLimit(w.Job)
-		})
-		if !useful {
+		offer := Offer{m.MachineType, m.Zone, m.Spot}
+		wanted, known := useful[offer]
+		if !known {
+			wanted = isUseful(offer, m.Capacity, s, waiting)
+			useful[offer] = wanted
+		}
+		if !wanted {
 			idle = append(idle, m.ID)
 		}
 	}
 	return idle
 }
 
+// isUseful tells whether anything that waits could use machines of an offer.
+func isUseful(o Offer, capacity job.Resources, s *scheduler.Scheduler, waiting []*scheduler.WaitingJob) bool {
+	return slices.ContainsFunc(waiting, func(w *scheduler.WaitingJob) bool {
+		return job.AllowsMachine(&w.Job.Spec, o.MachineType, o.Zone, o.Spot) && w.Job.Resources().FitsIn(capacity) && s.WithinLimit(w.Job)
+	})
+}
+
 // maxDrainShare is the part of the fleet that may drain at a time: one machine at least.
 const maxDrainShare = 0.08
 
@@ -41,6 +52,10 @@
 		used     float64
 		dearness float64
 	}
+	leaves := map[string]bool{}
+	for _, id := range leave {
+		leaves[id] = true
+	}
 	var all []load
 	free, held := 0.0, 0.0
 	most := max(1, int(maxDrainShare*float64(len(s.Machines()))))
@@ -64,7 +79,7 @@
 			}
 			continue
 		}
-		if slices.Contains(leave, m.ID) {
+		if leaves[m.ID] {
 			continue
 		}
 		free += max(m.FreeNow.CPUs, 0)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"sort"
 	"time"
 
+	"junipershelf/internal/bounds"
 	"junipershelf/job"
 	"junipershelf/protocol"
 	"junipershelf/scheduler"
@@ -24,6 +25,7 @@
 	ListLag         time.Duration
 	Settle          time.Duration // a start that ran this long stands
 	SpareRoom       float64       // room kept free when draining, as a part of what is held
+	MaxMachines     int           // that the memory can hold; 0: any number
 }
 
 // Offer is what can be rented.
@@ -66,12 +68,13 @@
 	returned    map[string]time.Time
 	listedAt    time.Time
 	pending     map[Offer]int // asked for, not answered
+	Bounds      bounds.Counts
 }
 
 // New makes a planner.
 func New(cfg Config) *Planner {
 	return &Planner{cfg: cfg, rented: map[string]*rented{}, pausedUntil: map[Offer]time.Time{}, refusals: map[Offer]int{},
-		returned: map[string]time.Time{}, pending: map[Offer]int{}}
+		returned: map[string]time.Time{}, pending: map[Offer]int{}, Bounds: bounds.Counts{}}
 }
 
 // MachineType finds a type of the catalogue.
@@ -184,7 +187,8 @@
 			have.add(Offer{m.MachineType, m.Zone, m.Spot}, m.FreeNow, 1)
 		}
 	}
-	plan := Plan{Requests: requestsOf(p.wantedOffers(now, s, waiting, have)), Discard: discard}
+	requests := requestsOf(p.wantedOffers(now, s, waiting, have))
+	plan := Plan{Requests: p.withinBound(requests), Discard: discard}
 	plan.Drain = p.idleMachines(now, s, waiting)
 	if len(waiting) == 0 && len(plan.Requests) == 0 {
 		plan.Drain = append(plan.Drain, p.drainCandidates(now, s, plan.Drain)...)
@@ -193,6 +197,28 @@
 	return plan
 }
 
+// withinBound cuts requests to what the memory can hold beside the machines that are there.
+func (p *Planner) withinBound(requests []Request) []Request {
+	if p.cfg.MaxMachines <= 0 {
+		return requests
+	}
+	left := p.cfg.MaxMachines - len(p.rented)
+	for _, n := range p.pending {
+		left -= n
+	}
+	for i := range requests {
+		if requests[i].Count > left {
+			p.Bounds.Met(bounds.Machines)
+			if left <= 0 {
+				return requests[:i]
+			}
+			requests[i].Count = left
+		}
+		left -= requests[i].Count
+	}
+	return requests
+}
+
 // unreported gives the room of machines that are on their way, and those of them that have
 // failed or are given up.
 func (p *Planner) unreported(now time.Time, s *scheduler.Scheduler) (have pool, discard []string) {
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -17,21 +17,27 @@
 // ErrUnknown says that nobody can tell whether the call was carried out.
 var ErrUnknown = errors.New("no answer")
 
+// ErrReplyTooLong says that an answer was longer than is taken; the call may have been carried
+// out.
+var ErrReplyTooLong = fmt.Errorf("%w: too long", ErrUnknown)
+
 // Client calls one service.
 type Client struct {
-	base string
-	http *http.Client
+	base     string
+	http     *http.Client
+	maxReply int
 }
 
 // Dial opens a connection.
 type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// New makes a client that keeps at most conns connections; a nil dial is TCP's.
-func New(dial Dial, addr string, conns int) *Client {
+// New makes a client that keeps at most conns connections and takes answers of at most
+// maxReply bytes; a nil dial is TCP's.
+func New(dial Dial, addr string, conns, maxReply int) *Client {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: time.Second, KeepAlive: -1}).DialContext
 	}
-	return &Client{base: "http://" + addr, http: &http.Client{
+	return &Client{base: "http://" + addr, maxReply: maxReply, http: &http.Client{
 		Transport: &http.Transport{
 			DialContext: dial, MaxConnsPerHost: conns, MaxIdleConnsPerHost: conns,
 			IdleConnTimeout: 90 * time.Second, DisableCompression: true,
@@ -41,9 +47,6 @@
 	}}
 }
 
-// maxReply bounds what is read of an answer.
-const maxReply = 16 << 20
-
 // Raw sends a body as it is and returns the answer's status and body.
 func (c *Client) Raw(ctx context.Context, method, path, kind string, body []byte) (int, []byte, error) {
 	var r io.Reader
@@ -62,7 +65,10 @@
 		return 0, nil, fmt.Errorf("%w: %v", ErrUnknown, err)
 	}
 	defer resp.Body.Close()
-	out, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	out, err := io.ReadAll(io.LimitReader(resp.Body, int64(c.maxReply)+1))
+	if len(out) > c.maxReply {
+		return 0, nil, ErrReplyTooLong
+	}
 	if err != nil {
 		return 0, nil, fmt.Errorf("%w: %v", ErrUnknown, err)
 	}
--- a/job/job.go
+++ b/job/job.go
@@ -98,7 +98,32 @@
 func FinalKey(uid string) string { return "ended/" + uid }
 
 // Ranges is a set of task numbers, kept as sorted [from, to] pairs.
-type Ranges struct{ spans [][2]int }
+type Ranges struct {
+	spans [][2]int
+	count int // of the numbers
+}
+
+// RangesOf makes the set of some numbers, in whatever order.
+func RangesOf(numbers []int) (r Ranges) {
+	sorted := slices.Clone(numbers)
+	slices.Sort(sorted)
+	for _, i := range sorted {
+		r.append(i, i)
+	}
+	return r
+}
+
+// append adds a range that begins at or behind the beginning of the last one.
+func (r *Ranges) append(from, to int) {
+	last := len(r.spans) - 1
+	if last < 0 || from > r.spans[last][1]+1 {
+		r.spans = append(r.spans, [2]int{from, to})
+		r.count += to - from + 1
+	} else if to > r.spans[last][1] {
+		r.count += to - r.spans[last][1]
+		r.spans[last][1] = to
+	}
+}
 
 // ParseRanges reads the form that String writes, such as "0-4,7".
 func ParseRanges(s string) (Ranges, error) {
@@ -119,6 +144,7 @@
 		}
 		last = to
 		r.spans = append(r.spans, [2]int{from, to})
+		r.count += to - from + 1
 	}
 	return r, nil
 }
@@ -178,6 +204,7 @@
 		k++
 	}
 	r.spans = out
+	r.count++
 }
 
 // All gives the numbers of the set in order.
@@ -195,27 +222,25 @@
 
 // Merge adds all of another set.
 func (r *Ranges) Merge(o Ranges) {
-	all := slices.Concat(r.spans, o.spans)
-	slices.SortFunc(all, func(a, b [2]int) int { return cmp.Compare(a[0], b[0]) })
-	var out [][2]int
-	for _, s := range all {
-		if n := len(out); n > 0 && s[0] <= out[n-1][1]+1 {
-			out[n-1][1] = max(out[n-1][1], s[1])
-			continue
+	if len(o.spans) == 0 {
+		return
+	}
+	merged := Ranges{spans: make([][2]int, 0, len(r.spans)+len(o.spans))}
+	mine, others := r.spans, o.spans
+	for len(mine)+len(others) > 0 {
+		if len(others) == 0 || len(mine) > 0 && mine[0][0] <= others[0][0] {
+			merged.append(mine[0][0], mine[0][1])
+			mine = mine[1:]
+		} else {
+			merged.append(others[0][0], others[0][1])
+			others = others[1:]
 		}
-		out = append(out, s)
 	}
-	r.spans = out
+	*r = merged
 }
 
-// Len counts the numbers in the set; Spans counts its tasks.
-func (r Ranges) Len() int {
-	n := 0
-	for _, s := range r.spans {
-		n += s[1] - s[0] + 1
-	}
-	return n
-}
+// Len counts the numbers in the set.
+func (r Ranges) Len() int { return r.count }
 
-// Spans counts the tasks that the set falls into.
+// Spans counts the ranges that the set falls into.
 func (r Ranges) Spans() int { return len(r.spans) }
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -11,7 +11,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var r Ranges
 		model := map[int]bool{}
-		for _, i := range rapid.SliceOfN(rapid.IntRange(0, 60), 0, 80).Draw(t, "adds") {
+		adds := rapid.SliceOfN(rapid.IntRange(0, 60), 0, 80).Draw(t, "adds")
+		for _, i := range adds {
 			before, s := r, r.String()
 			r.Add(i)
 			model[i] = true
@@ -35,6 +36,12 @@
 				last = i
 			}
 		}
+		half := len(adds) / 2
+		merged, rest := RangesOf(adds[:half]), RangesOf(adds[half:])
+		merged.Merge(rest)
+		if merged.String() != r.String() || merged.Len() != r.Len() || back.Len() != r.Len() {
+			t.Fatalf("%q of %d numbers merged, %q of %d added, %d read", merged, merged.Len(), r, r.Len(), back.Len())
+		}
 		if r.Len() != len(model) || r.Spans() != spans {
 			t.Fatalf("%q: %d numbers in %d spans, model %d in %d", r, r.Len(), r.Spans(), len(model), spans)
 		}
--- a/job/mirror.go
+++ b/job/mirror.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"junipershelf/internal/bounds"
 	"junipershelf/protocol"
 )
 
@@ -97,11 +98,13 @@
 	teams     map[string]int
 	freshAsOf time.Time
 	ended     map[string]time.Time
+	thinnedAt time.Time // when ended was last thinned out
+	Bounds    bounds.Counts
 }
 
 // NewMirror makes an empty mirror; teams gives their dense indices.
 func NewMirror(teams map[string]int) *Mirror {
-	return &Mirror{Jobs: map[string]*Live{}, teams: teams, ended: map[string]time.Time{}}
+	return &Mirror{Jobs: map[string]*Live{}, teams: teams, ended: map[string]time.Time{}, Bounds: bounds.Counts{}}
 }
 
 // Get finds a live job.
@@ -147,15 +150,18 @@
 // What is remembered of jobs that have ended: more than so many are thinned out to those of
 // the last minutes.
 const (
-	maxEnded    = 10000
-	endedMemory = 10 * time.Minute
+	maxEnded     = 10000
+	endedMemory  = 10 * time.Minute
+	thinInterval = time.Minute // the fewest ends are looked at for each that comes
 )
 
 // Remove takes a job out that has ended.
 func (m *Mirror) Remove(uid string, now time.Time) {
 	delete(m.Jobs, uid)
 	m.ended[uid] = now
-	if len(m.ended) > maxEnded {
+	if len(m.ended) > maxEnded && now.Sub(m.thinnedAt) >= thinInterval {
+		m.thinnedAt = now
+		m.Bounds.Met(bounds.EndedJobs)
 		for u, at := range m.ended {
 			if now.Sub(at) > endedMemory {
 				delete(m.ended, u)
--- a/partition/recordwriter.go
+++ b/partition/recordwriter.go
@@ -15,11 +15,11 @@
 	resources map[RecordResources]int
 	jobs      map[string]int
 	attempts  map[uint64]int
-	completed map[string]*job.Ranges
+	completed map[string][]int // task numbers by job
 }
 
 func newRecordWriter() *recordWriter {
-	return &recordWriter{kinds: map[RecordKind]int{}, resources: map[RecordResources]int{}, jobs: map[string]int{}, attempts: map[uint64]int{}, completed: map[string]*job.Ranges{}}
+	return &recordWriter{kinds: map[RecordKind]int{}, resources: map[RecordResources]int{}, jobs: map[string]int{}, attempts: map[uint64]int{}, completed: map[string][]int{}}
 }
 
 // intern finds the place of a value in a list, which it joins if it is new.
@@ -76,17 +76,14 @@
 
 // addCompleted adds a task that completed.
 func (w *recordWriter) addCompleted(t job.Task) {
-	if w.completed[t.Job] == nil {
-		w.completed[t.Job] = &job.Ranges{}
-	}
-	w.completed[t.Job].Add(t.Index)
+	w.completed[t.Job] = append(w.completed[t.Job], t.Index)
 }
 
-// bytes is about what the record takes as far as it is written.
+// bytes is what the record takes at the most, as far as it is written.
 func (w *recordWriter) bytes() int {
 	n := w.out.Bytes()
-	for _, r := range w.completed {
-		n += spanBytes*r.Spans() + rowBytes
+	for _, numbers := range w.completed {
+		n += spanBytes*len(numbers) + rowBytes
 	}
 	return n
 }
@@ -94,7 +91,7 @@
 // record finishes the record.
 func (w *recordWriter) record() *Record {
 	for _, uid := range slices.Sorted(maps.Keys(w.completed)) {
-		w.out.Completed = append(w.out.Completed, RecordCompleted{Job: w.jobIndex(uid, -1), Tasks: w.completed[uid].String()})
+		w.out.Completed = append(w.out.Completed, RecordCompleted{Job: w.jobIndex(uid, -1), Tasks: job.RangesOf(w.completed[uid]).String()})
 	}
 	if len(w.out.Attempts) > 0 {
 		w.out.AttemptBase = slices.Min(w.out.Attempts)
--- a/peer/mailbox.go
+++ b/peer/mailbox.go
@@ -38,31 +38,34 @@
 	Text   string `cbor:"t"`
 }
 
-// partOverhead is what a part takes beside its text, in its JSON form, and maxMessage what
-// all parts together may hold: an owner's first call in a view is whole, about 100 KiB for a
-// thousand machines.
+// ErrMessageTooLarge says that a message has more parts, or more in them, than a mailbox takes.
+var ErrMessageTooLarge = errors.New("too large for a mailbox")
+
+// partOverhead is what a part takes beside its text, in its JSON form. An owner's first call
+// in a view is whole, some 80 KiB of text for a thousand machines; earlier versions take as many
+// parts and bytes as well.
 const (
 	partOverhead = 120
-	maxMessage   = 512 << 10
+	maxParts     = 1 << 10
+	maxDecoded   = 4 << 20
 )
 
 // SplitMessage encodes a message and makes parts of at most so many bytes each.
 func SplitMessage(body any, view uint64, caller int, n uint64, most int) ([]MessagePart, error) {
-	var raw bytes.Buffer
-	z, err := flate.NewWriter(&raw, flate.DefaultCompression)
+	raw, err := msgpack.Marshal(body)
 	if err != nil {
 		return nil, err
 	}
-	if err := msgpack.NewEncoder(z).Encode(body); err != nil {
-		return nil, err
+	if len(raw) > maxDecoded {
+		return nil, ErrMessageTooLarge
 	}
-	if err := z.Close(); err != nil {
+	text, err := compress(raw)
+	if err != nil {
 		return nil, err
 	}
-	text := base64.RawStdEncoding.EncodeToString(raw.Bytes())
 	room := most - partOverhead
-	if room <= 0 || len(text) > maxMessage {
-		return nil, errors.New("too large for a mailbox")
+	if room <= 0 || len(text) > room*maxParts {
+		return nil, ErrMessageTooLarge
 	}
 	of := max((len(text)+room-1)/room, 1)
 	out := make([]MessagePart, of)
@@ -72,6 +75,22 @@
 	return out, nil
 }
 
+// compress gives a message as text.
+func compress(raw []byte) (string, error) {
+	var out bytes.Buffer
+	z, err := flate.NewWriter(&out, flate.DefaultCompression)
+	if err != nil {
+		return "", err
+	}
+	if _, err := z.Write(raw); err != nil {
+		return "", err
+	}
+	if err := z.Close(); err != nil {
+		return "", err
+	}
+	return base64.RawStdEncoding.EncodeToString(out.Bytes()), nil
+}
+
 // Mailbox collects the parts of one caller's messages until one is whole.
 type Mailbox struct {
 	view, call uint64
@@ -82,7 +101,7 @@
 // Add takes a part and tells whether the message is whole. Parts of an older call that come
 // late are left out.
 func (m *Mailbox) Add(l MessagePart) bool {
-	if l.Parts < 1 || l.Part < 0 || l.Part >= l.Parts || l.Parts > 1<<10 || l.View < m.view || l.View == m.view && l.Call < m.call {
+	if l.Parts < 1 || l.Part < 0 || l.Part >= l.Parts || l.Parts > maxParts || l.View < m.view || l.View == m.view && l.Call < m.call {
 		return false
 	}
 	if l.View != m.view || l.Call != m.call || len(m.parts) != l.Parts {
@@ -103,5 +122,5 @@
 	}
 	z := flate.NewReader(bytes.NewReader(raw))
 	defer z.Close()
-	return msgpack.NewDecoder(io.LimitReader(z, maxBody)).Decode(body)
+	return msgpack.NewDecoder(io.LimitReader(z, maxDecoded)).Decode(body)
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -95,11 +95,9 @@
 	Show() NodeState
 }
 
-const maxBody = 4 << 20
-
-func handle[Q, A any](log *slog.Logger, f func(context.Context, Q) A) http.HandlerFunc {
+func handle[Q, A any](log *slog.Logger, maxBody int, f func(context.Context, Q) A) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(maxBody)))
 		var q Q
 		if err == nil {
 			err = msgpack.Unmarshal(body, &q)
@@ -119,13 +117,13 @@
 	}
 }
 
-// Handler serves a node's calls.
-func Handler(n Node, log *slog.Logger) http.Handler {
+// Handler serves a node's calls of at most so many bytes.
+func Handler(n Node, log *slog.Logger, maxBody int) http.Handler {
 	r := chi.NewRouter()
-	r.Post("/sync", handle(log, func(_ context.Context, q Sync) SyncReply { return n.Sync(q) }))
-	r.Post("/ping", handle(log, func(_ context.Context, q Ping) Ping { return n.Ping(q) }))
-	r.Post("/forward", handle(log, n.Forward))
-	r.Post("/show", handle(log, func(context.Context, struct{}) NodeState { return n.Show() }))
+	r.Post("/sync", handle(log, maxBody, func(_ context.Context, q Sync) SyncReply { return n.Sync(q) }))
+	r.Post("/ping", handle(log, maxBody, func(_ context.Context, q Ping) Ping { return n.Ping(q) }))
+	r.Post("/forward", handle(log, maxBody, n.Forward))
+	r.Post("/show", handle(log, maxBody, func(context.Context, struct{}) NodeState { return n.Show() }))
 	return r
 }
 
@@ -135,9 +133,12 @@
 	addr  string
 }
 
+// ClientLimits bound a client: its connections, and the bytes of an answer.
+type ClientLimits struct{ Connections, ReplyBytes int }
+
 // NewClient makes a client.
-func NewClient(dial httpcall.Dial, addr string) *Client {
-	return &Client{httpcall.New(dial, addr, 24), addr}
+func NewClient(dial httpcall.Dial, addr string, limits ClientLimits) *Client {
+	return &Client{httpcall.New(dial, addr, limits.Connections, limits.ReplyBytes), addr}
 }
 
 func (c *Client) do(ctx context.Context, path string, timeout time.Duration, q, a any) error {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -24,7 +24,7 @@
 // answer that cannot be decoded is an error that tells both.
 func TestUndecodableMessages(t *testing.T) {
 	var log bytes.Buffer
-	h := Handler(silentNode{}, slog.New(slog.NewTextHandler(&log, nil)))
+	h := Handler(silentNode{}, slog.New(slog.NewTextHandler(&log, nil)), 1<<20)
 	call := httptest.NewRequest(http.MethodPost, "/ping", strings.NewReader("\x93\x01"))
 	call.RemoteAddr = "10.0.0.2:999"
 	answer := httptest.NewRecorder()
@@ -49,7 +49,7 @@
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte{0x93, 1}) }))
 	defer srv.Close()
 	addr := strings.TrimPrefix(srv.URL, "http://")
-	_, err = NewClient(nil, addr).Ping(context.Background(), Ping{Node: "a"})
+	_, err = NewClient(nil, addr, ClientLimits{Connections: 1, ReplyBytes: 1 << 20}).Ping(context.Background(), Ping{Node: "a"})
 	var undecodable *protocol.DecodeError
 	if !errors.As(err, &undecodable) || undecodable.Sender != addr || undecodable.Source != "answer to /ping" {
 		t.Errorf("a malformed answer: %v", err)
--- a/scheduler/assign.go
+++ b/scheduler/assign.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"junipershelf/internal/bounds"
 	"junipershelf/job"
 	"junipershelf/protocol"
 )
@@ -50,9 +51,15 @@
 // nextTasks gives the first free tasks of a job, none that failed on the machine last.
 func (s *Scheduler) nextTasks(entry *jobEntry, n int, machine string) []int {
 	l := entry.live
-	// Finished tasks are kept as ranges: holes far behind would grow the record
-	// past what a value may hold.
-	lag := l.Finished.Spans()*spanBytes+s.descriptionBytes() > max(s.cfg.ValueBytes/2, min(s.cfg.ValueBytes, minSpansLimit))
+	// Finished tasks are kept as ranges. What a job's record cannot hold for all the holes
+	// stays in the placements' records, which have room for as much as the memory: only
+	// beyond that the holes are filled first. Once a job of 100,000 tasks stood still again and
+	// again on thousands of machines, until the slowest of them had ended.
+	lag := s.finishedTasks > s.cfg.MaxFinishedTasks &&
+		l.Finished.Spans()*spanBytes+s.descriptionBytes() > max(s.cfg.ValueBytes/2, min(s.cfg.ValueBytes, minSpansLimit))
+	if lag {
+		s.Bounds.Met(bounds.FinishedTasks)
+	}
 	var out []int
 	first := true
 	for i := entry.firstFree; i < l.Spec.Tasks && len(out) < n; i++ {
--- a/scheduler/compaction.go
+++ b/scheduler/compaction.go
@@ -51,6 +51,9 @@
 		} else if !full {
 			continue
 		}
+		if compaction.Final == nil && l.Finished.Spans()*minSpanBytes+s.descriptionBytes() > s.cfg.ValueBytes {
+			continue // surely too long
+		}
 		compaction.Record.Done = l.Finished.String()
 		if compaction.Final == nil && len(compaction.Record.Done)+s.descriptionBytes() > s.cfg.ValueBytes {
 			continue // later, when the holes are filled
@@ -94,6 +97,7 @@
 }
 
 const (
+	minSpanBytes       = 2 // a range of finished tasks, at the least
 	maxDescription     = 1500
 	descriptionPercent = 30
 )
--- a/scheduler/failures.go
+++ b/scheduler/failures.go
@@ -27,29 +27,42 @@
 	return seconds
 }
 
-// noteCompleted notes a finished task; a second time changes nothing.
-func (s *Scheduler) noteCompleted(done partition.CompletedTask) {
-	t := done.Task
-	l := s.jobs.Get(t.Job)
-	if l == nil {
-		return
-	}
-	fresh := !l.Finished.Has(t.Index)
-	if fresh && done.RunS > 0 && l.Spec.ExpectedS > 0 {
-		r := s.runTimes[l.Spec.Class]
-		if r == nil {
-			r = &times{prior * l.Spec.ExpectedS, prior * l.Spec.ExpectedS}
-			s.runTimes[l.Spec.Class] = r
+// noteCompleted notes finished tasks; a second time changes nothing. A job's are added
+// together: one after the other, each would copy all ranges of a large job.
+func (s *Scheduler) noteCompleted(all []partition.CompletedTask) {
+	fresh := map[string][]int{}
+	for _, done := range all {
+		t := done.Task
+		l := s.jobs.Get(t.Job)
+		if l == nil {
+			continue
 		}
-		r.ran += done.RunS
-		r.expected += l.Spec.ExpectedS
-	}
-	e := s.jobEntry(t.Job)
-	if fresh {
-		l.Finished.Add(t.Index)
+		e := s.jobEntry(t.Job)
+		e.completed = true
+		if l.Finished.Has(t.Index) || e.isFinished(t.Index) {
+			continue
+		}
+		s.noteRunTime(l, done.RunS)
 		e.finish(t.Index)
+		fresh[t.Job] = append(fresh[t.Job], t.Index)
+	}
+	for uid, numbers := range fresh {
+		s.jobs.Get(uid).Finished.Merge(job.RangesOf(numbers))
+	}
+}
+
+// noteRunTime learns how long the tasks of a class run.
+func (s *Scheduler) noteRunTime(l *job.Live, runS float64) {
+	if runS <= 0 || l.Spec.ExpectedS <= 0 {
+		return
+	}
+	r := s.runTimes[l.Spec.Class]
+	if r == nil {
+		r = &times{prior * l.Spec.ExpectedS, prior * l.Spec.ExpectedS}
+		s.runTimes[l.Spec.Class] = r
 	}
-	e.completed = true
+	r.ran += runS
+	r.expected += l.Spec.ExpectedS
 }
 
 // noteFailure notes a failed task. Most failures are the machine's; a job submitted
--- a/scheduler/jobentry.go
+++ b/scheduler/jobentry.go
@@ -58,7 +58,7 @@
 			entry.firstFree = 0
 		}
 	}
-	if entry.live != nil && entry.finishedCount != entry.live.Finished.Len() {
+	if entry.live != nil && entry.finishedCount < entry.live.Finished.Len() {
 		for i := range entry.live.Finished.All() {
 			entry.finish(i)
 		}
@@ -72,8 +72,12 @@
 	}
 }
 
+// isFinished tells whether a task is noted as finished.
+func (e *jobEntry) isFinished(i int) bool { return i < len(e.tasks) && e.tasks[i]&finishedBit != 0 }
+
+// finish notes a finished task.
 func (e *jobEntry) finish(i int) {
-	if i >= len(e.tasks) || e.tasks[i]&finishedBit != 0 {
+	if i >= len(e.tasks) || e.isFinished(i) {
 		return
 	}
 	if e.tasks[i] == 0 {
--- a/scheduler/ledger.go
+++ b/scheduler/ledger.go
@@ -1,11 +1,13 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"strings"
 	"time"
 
+	"junipershelf/internal/bounds"
 	"junipershelf/job"
 	"junipershelf/partition"
 )
@@ -44,9 +46,7 @@
 	for _, state := range states {
 		s.updateMachine(owner, state, now)
 	}
-	for _, completedTask := range done {
-		s.noteCompleted(completedTask)
-	}
+	s.noteCompleted(done)
 }
 
 // TakeUpdate takes an owner's update and tells which version the leader has of it.
@@ -73,9 +73,7 @@
 		}
 	}
 	state.synced, state.updateSequence, state.updateVersion, state.completedFill = true, update.Sequence, update.Version, update.CompletedFill
-	for _, completed := range update.Completed {
-		s.noteCompleted(completed)
-	}
+	s.noteCompleted(update.Completed)
 	for _, failure := range update.Failures {
 		s.noteFailure(failure, now)
 	}
@@ -300,9 +298,6 @@
 	return 0
 }
 
-// maxRemoved bounds how many machines that are gone are remembered for the owners.
-const maxRemoved = 2000
-
 // refresh takes the mirror's jobs into the ledger and drops what is over.
 func (s *Scheduler) refresh() {
 	s.checkGuarantees()
@@ -314,9 +309,36 @@
 			}
 		}
 	}
-	if len(s.removed) > maxRemoved {
-		clear(s.removed) // owners that have not called for so long are away
+	s.forgetRemoved()
+	s.finishedTasks = 0
+	for _, l := range s.jobs.Jobs {
+		s.finishedTasks += l.Finished.Len() - l.Compacted.Len()
+	}
+}
+
+// minRemoved is how many machines that are gone are remembered for the owners at least.
+const minRemoved = 2000
+
+// forgetRemoved forgets the older half of the machines that are gone, once there are more of
+// them than the ledger has machines. An owner that has yet to hear of one of those is told of
+// the whole fleet anew, see KnownVersion: once it never heard of them.
+func (s *Scheduler) forgetRemoved() {
+	if len(s.removed) <= max(len(s.machines), minRemoved) {
+		return
+	}
+	s.Bounds.Met(bounds.RemovedMachines)
+	versions := slices.Sorted(maps.Values(s.removed))
+	s.forgotten = versions[len(versions)/2]
+	maps.DeleteFunc(s.removed, func(_ string, version uint64) bool { return version <= s.forgotten })
+}
+
+// KnownVersion is the version of the fleet from which an owner may be told what has changed:
+// the one that it knows, or 0 if it has to be told of all machines anew.
+func (s *Scheduler) KnownVersion(known uint64) uint64 {
+	if known < s.forgotten {
+		return 0
 	}
+	return known
 }
 
 // IsService tells whether a job's tasks run until it is cancelled.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -12,6 +12,7 @@
 import (
 	"time"
 
+	"junipershelf/internal/bounds"
 	"junipershelf/job"
 	"junipershelf/partition"
 )
@@ -26,6 +27,7 @@
 	MaxFailurePause   time.Duration
 	SickAfter         int // failures of different tasks that others complete
 	ValueBytes        int
+	MaxFinishedTasks  int                 // finished tasks that may stand in no job's record
 	PreemptAfter      time.Duration       // work that may stop other work waits this long first
 	ImagePatience     float64             // a room without the image is left to others for this part of a fetch
 	PullGBPerS        func() float64      // how fast machines fetch
@@ -88,15 +90,18 @@
 	images         map[string]int32
 	imageCount     map[int32]int // machines that have an image
 
-	runTimes   map[string]*times
-	moves      []partition.Move
-	preempted  map[job.Task]time.Time
-	failuresOf map[string]map[job.Task]bool
-	Sick       map[string]bool
-	candidates candidates // of the pass
-	gangs      uint64
-	servedCPUs [2]float64 // CPUs given by the order of service, and to what is protected
-	Counts     Counts
+	runTimes      map[string]*times
+	moves         []partition.Move
+	preempted     map[job.Task]time.Time
+	failuresOf    map[string]map[job.Task]bool
+	Sick          map[string]bool
+	candidates    candidates // of the pass
+	gangs         uint64
+	finishedTasks int    // that stand in no job's record
+	forgotten     uint64 // machines that went up to this version may be remembered no more
+	Bounds        bounds.Counts
+	servedCPUs    [2]float64 // CPUs given by the order of service, and to what is protected
+	Counts        Counts
 }
 
 // Counts are the leader's totals.
@@ -112,7 +117,7 @@
 func New(cfg Config, teams []Team, owners int, capacityOf partition.CapacityOf, jobs *job.Mirror) *Scheduler {
 	d := &Scheduler{cfg: cfg, Teams: teams, byName: map[string]int{}, jobs: jobs, owners: make([]ownerState, owners), capacityOf: capacityOf,
 		entries: map[string]*jobEntry{}, machines: map[string]*Machine{}, removed: map[string]uint64{}, images: map[string]int32{}, imageCount: map[int32]int{},
-		runTimes: map[string]*times{}, preempted: map[job.Task]time.Time{},
+		Bounds: bounds.Counts{}, runTimes: map[string]*times{}, preempted: map[job.Task]time.Time{},
 		failuresOf: map[string]map[job.Task]bool{}, Sick: map[string]bool{}}
 	for i, t := range teams {
 		d.byName[t.Name] = i
--- a/statestore/limits.go
+++ b/statestore/limits.go
@@ -68,6 +68,14 @@
 	return requests * c.requests.learned.factor
 }
 
+// ChangeRate is this node's share of the changes, as far as it is granted.
+func (c *Client) ChangeRate() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, changes := c.rates()
+	return changes * c.changes.learned.factor
+}
+
 // noteSent counts a call that goes out.
 func (c *Client) noteSent(changes int) {
 	c.mu.Lock()
--- a/statestore/statestore.go
+++ b/statestore/statestore.go
@@ -75,9 +75,10 @@
 // CallTimeout is how long a call may take.
 const CallTimeout = 1500 * time.Millisecond
 
-// New makes a client. It has all of the limits until SetShare says otherwise.
-func New(dial httpcall.Dial, addr string, limits settings.StateLimits) *Client {
-	c := &Client{calls: httpcall.New(dial, addr, 16), watches: httpcall.New(dial, addr, 4), limits: limits, lastOK: time.Now(), nodes: 1}
+// New makes a client that takes answers of at most so many bytes. It has all of the limits
+// until SetShare says otherwise.
+func New(dial httpcall.Dial, addr string, limits settings.StateLimits, maxReply int) *Client {
+	c := &Client{calls: httpcall.New(dial, addr, 16, maxReply), watches: httpcall.New(dial, addr, 4, maxReply), limits: limits, lastOK: time.Now(), nodes: 1}
 	c.requests, c.changes = newPacer(0, 0), newPacer(0, 0)
 	c.refill()
 	return c
@@ -264,6 +265,9 @@
 	defer cancel()
 	path := fmt.Sprintf("/watch?under=%s&since=%d&wait_ms=%d", url.QueryEscape(prefix), since, wait.Milliseconds())
 	code, err := c.outcome(c.watches.Call(ctx, http.MethodGet, path, nil, &r))
+	if errors.Is(err, httpcall.ErrReplyTooLong) {
+		return r, fmt.Errorf("%w: %w", ErrRevisionCompacted, err) // lists come in pages
+	}
 	if err != nil {
 		return r, err
 	}
--- a/statestore/statestore_test.go
+++ b/statestore/statestore_test.go
@@ -30,7 +30,7 @@
 		}
 		srv := &http.Server{Handler: handler}
 		go srv.Serve(l)
-		f(ctx, New(n.Dialer("a"), "state:1", limitsOfTests))
+		f(ctx, New(n.Dialer("a"), "state:1", limitsOfTests, 1<<20))
 		stop()
 		srv.Close()
 		l.Close()
