A job of the largest size keeps a large fleet at work; tests of 4,000 machines and of bounds

Each bound is crossed by one. Stand-ins: workers without a connection each, pages, watches that are too old.

--- a/controller/cancellations_test.go
+++ b/controller/cancellations_test.go
@@ -11,15 +11,15 @@
 	"junipershelf/peer"
 )
 
-// Whatever is lost, late, dropped from a full log or forgotten by a restart: a node that
-// holds a peer's cancellations for known knows each one that the peer has told anybody, in
-// this run or an earlier one, before it answered. The plain model is the set of all of them.
 // The sizes of the logs that are drawn.
 const (
 	maxLogEntries     = 4096
 	maxMessageEntries = 256
 )
 
+// Whatever is lost, late, dropped from a full log or forgotten by a restart: a node that
+// holds a peer's cancellations for known knows each one that the peer has told anybody, in
+// this run or an earlier one, before it answered. The plain model is the set of all of them.
 func TestCancellationsAreKnownWhenTheySaySo(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var clock time.Duration
@@ -94,3 +94,5 @@
 		t.Error("its cancellations are held for known")
 	}
 }
+
+func cancellationOf(i int) peer.Cancellation { return peer.Cancellation{UID: fmt.Sprintf("wk-%d", i)} }
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -14,6 +14,7 @@
 	"testing/synctest"
 	"time"
 
+	"junipershelf/api"
 	"junipershelf/controller"
 	"junipershelf/internal/standin"
 	"junipershelf/membership"
@@ -73,6 +74,7 @@
 	room    map[string]int
 	nodes   int  // controllers; 0: three
 	scarce  bool // the state service keeps to the limits that the facts name
+	direct  bool // workers call without connections, which thousands of them would be slow to make
 
 	// The nodes that run the production version when the day begins. It passes over what
 	// newFacts, the settings of the new version, have beyond the facts.
@@ -100,9 +102,10 @@
 	world world
 	nodes []string
 
-	mu    sync.Mutex
-	stops map[string]context.CancelFunc
-	ended map[string]chan struct{}
+	mu      sync.Mutex
+	stops   map[string]context.CancelFunc
+	ended   map[string]chan struct{}
+	running map[string]*standin.Process // by node
 
 	versions *versions // of the nodes; nil: all are new
 }
@@ -127,9 +130,12 @@
 func newDay(t *testing.T, ctx context.Context, seed uint64, w world) *day {
 	t.Helper()
 	d := &day{t: t, ctx: ctx, net: standin.NewNet(), store: standin.NewStore(8192), log: &lockedBuffer{}, world: w, nodes: nodeNames(cmp.Or(w.nodes, 3)),
-		stops: map[string]context.CancelFunc{}, ended: map[string]chan struct{}{}}
+		stops: map[string]context.CancelFunc{}, ended: map[string]chan struct{}{}, running: map[string]*standin.Process{}}
 	d.cloud = standin.NewCloud(ctx, d.net, seed, w.rules, w.flavors)
 	maps.Copy(d.cloud.Room, w.room)
+	if w.direct {
+		d.cloud.Transport = func(host string) http.RoundTripper { return standin.Direct{Net: d.net, From: host, Running: d.process} }
+	}
 	if w.scarce {
 		lim := parse(t, "n0", w.facts, d.nodes).Facts.State
 		d.store.Limit(lim.RPS, lim.WriteRPS)
@@ -195,7 +201,7 @@
 	c := controller.New(parse(d.t, node, facts, d.nodes), pol, log, network)
 	done := make(chan struct{})
 	d.mu.Lock()
-	d.stops[node], d.ended[node] = stop, done
+	d.stops[node], d.ended[node], d.running[node] = stop, done, &standin.Process{Handler: api.Handler(c)}
 	d.mu.Unlock()
 	go func() {
 		defer close(done)
@@ -205,10 +211,18 @@
 	}()
 }
 
+// process finds a node's running process.
+func (d *day) process(node string) *standin.Process {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.running[node]
+}
+
 // crash ends a node with no warning to anybody and starts it again.
 func (d *day) crash(node string, away time.Duration) {
 	d.mu.Lock()
 	stop, done := d.stops[node], d.ended[node]
+	delete(d.running, node)
 	d.mu.Unlock()
 	stop()
 	d.net.Crash(node)
--- a/controller/listener.go
+++ b/controller/listener.go
@@ -18,8 +18,9 @@
 	slots chan struct{}
 	full  func() // is called for each connection that finds no slot
 
-	mu   sync.Mutex
-	idle map[net.Conn]bool
+	mu      sync.Mutex
+	idle    map[net.Conn]bool
+	awaited bool // a connection waits for a slot
 }
 
 func newLimitedListener(l net.Listener, maxConns int, full func()) *limitedListener {
@@ -32,8 +33,9 @@
 	case l.slots <- struct{}{}:
 	default:
 		l.full()
-		l.closeIdle()
+		l.await(true)
 		l.slots <- struct{}{}
+		l.await(false)
 	}
 	conn, err := l.Listener.Accept()
 	if err != nil {
@@ -47,20 +49,30 @@
 func (l *limitedListener) track(conn net.Conn, state http.ConnState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if state == http.StateIdle {
-		l.idle[conn] = true
-	} else {
+	switch {
+	case state != http.StateIdle:
 		delete(l.idle, conn)
+	case l.awaited:
+		l.awaited = false
+		conn.Close()
+	default:
+		l.idle[conn] = true
 	}
 }
 
-// closeIdle closes a connection that is not in use.
-func (l *limitedListener) closeIdle() {
+// await closes a connection that is not in use, or the next one that is not, while one waits
+// for a slot.
+func (l *limitedListener) await(waits bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.awaited = waits
+	if !waits {
+		return
+	}
 	for conn := range l.idle {
 		delete(l.idle, conn)
 		conn.Close()
+		l.awaited = false
 		return
 	}
 }
--- a/controller/view.go
+++ b/controller/view.go
@@ -187,6 +187,7 @@
 		MaxFailurePause:   settings.Seconds(c.policy.FaultMaxS),
 		SickAfter:         c.policy.SickAfter,
 		ValueBytes:        c.store.ValueBytes(),
+		MaxFinishedTasks:  c.limits.FinishedTasks,
 		Targets:           targetsByClass(facts.Objectives),
 		GuaranteeWithin:   guaranteeWithin(facts.Objectives),
 		PreemptAfter:      settings.Seconds(c.policy.PreemptS),
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sort"
 	"strings"
 	"sync"
@@ -31,7 +32,8 @@
 // Cloud rents out workers and judges what runs on them.
 type Cloud struct {
 	mu           sync.Mutex
-	net          *Net
+	net          Network
+	Transport    func(host string) http.RoundTripper // how workers call; nil: by connections
 	rng          *rand.Rand
 	rules        Rules
 	Nodes        map[string]string // front addresses by node name
@@ -65,7 +67,7 @@
 }
 
 // NewCloud makes a cloud whose workers report to nodes.
-func NewCloud(ctx context.Context, n *Net, seed uint64, rules Rules, flavors []protocol.MachineType) *Cloud {
+func NewCloud(ctx context.Context, n Network, seed uint64, rules Rules, flavors []protocol.MachineType) *Cloud {
 	return &Cloud{net: n, rng: rand.New(rand.NewPCG(seed, 1)), rules: rules, Nodes: map[string]string{}, MachineTypes: flavors,
 		Room: map[string]int{}, ctx: ctx, rentals: map[string][]string{}, workers: map[string]*worker{},
 		kept: map[string][]byte{}, specs: map[string]*protocol.JobSpec{}, gone: map[string]time.Time{}, Results: map[string]int{},
@@ -74,6 +76,14 @@
 		RunFor: func(string) time.Duration { return 5 * time.Second }}
 }
 
+// client makes a host's client.
+func (c *Cloud) client(host string) *http.Client {
+	if c.Transport != nil {
+		return &http.Client{Transport: c.Transport(host)}
+	}
+	return &http.Client{Transport: &http.Transport{DialContext: c.net.Dialer(host)}}
+}
+
 // Know tells the workers of a job, as its user's upload does.
 func (c *Cloud) Know(s *protocol.JobSpec) {
 	c.mu.Lock()
@@ -122,6 +132,16 @@
 	return out
 }
 
+// ZoneOf names a machine's zone.
+func (c *Cloud) ZoneOf(id string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w := c.workers[id]; w != nil {
+		return w.zone
+	}
+	return ""
+}
+
 // Take takes a machine back without notice.
 func (c *Cloud) Take(id string) {
 	c.mu.Lock()
--- a/internal/standin/cloudserver.go
+++ b/internal/standin/cloudserver.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"junipershelf/protocol"
@@ -24,6 +25,9 @@
 	return serve(ctx, c.net, a, r)
 }
 
+// maxListed is the most machines on a page of the list.
+const maxListed = 500
+
 // admit refuses all calls while the cloud is down.
 func (c *Cloud) admit(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -78,12 +82,25 @@
 	reply(w, http.StatusOK, protocol.ErrorBody{})
 }
 
-// serveList lists the rented machines.
-func (c *Cloud) serveList(w http.ResponseWriter, _ *http.Request) {
+// serveList serves a page of the rented machines.
+func (c *Cloud) serveList(w http.ResponseWriter, r *http.Request) {
+	since := r.URL.Query().Get("since")
+	most, err := strconv.Atoi(r.URL.Query().Get("most"))
+	if err != nil || most > maxListed {
+		reply(w, http.StatusBadRequest, protocol.ErrorBody{Error: "malformed"})
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var l protocol.MachineList
 	for _, id := range c.names() {
+		if id <= since {
+			continue
+		}
+		if len(l.Machines) == most {
+			l.HasNext = true
+			break
+		}
 		x := c.workers[id]
 		status := "running"
 		if time.Now().Before(x.upAt) {
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -11,6 +11,12 @@
 	"time"
 )
 
+// Network is what the stand-ins listen on and call by.
+type Network interface {
+	Listen(network, addr string) (net.Listener, error)
+	Dialer(host string) func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
 // Net is a network in memory.
 type Net struct {
 	mu        sync.Mutex
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -32,6 +32,7 @@
 	leaseTTL map[uint64]time.Duration
 	nextID   uint64
 	events   []protocol.Event
+	oldest   uint64 // revision of the oldest change that is kept, 0 while all are
 	changed  chan struct{}
 
 	outage     func(from string) bool
@@ -262,6 +263,10 @@
 }
 
 func (s *Store) wake() {
+	if len(s.events) > 2*keptEvents {
+		s.events = append(s.events[:0:0], s.events[len(s.events)-keptEvents:]...)
+		s.oldest = s.events[0].Revision
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -304,12 +309,12 @@
 }
 
 // Serve serves the store on an address until the context ends.
-func (s *Store) Serve(ctx context.Context, n *Net, a string) error {
+func (s *Store) Serve(ctx context.Context, n Network, a string) error {
 	return serve(ctx, n, a, s.Handler())
 }
 
-func serve(ctx context.Context, n *Net, a string, h http.Handler) error {
-	l, err := n.Listen("mem", a)
+func serve(ctx context.Context, n Network, a string, h http.Handler) error {
+	l, err := n.Listen("tcp4", a)
 	if err != nil {
 		return err
 	}
--- a/internal/standin/storeserver.go
+++ b/internal/standin/storeserver.go
@@ -176,6 +176,11 @@
 	for {
 		s.mu.Lock()
 		s.expire()
+		if since+1 < s.oldest {
+			s.mu.Unlock()
+			reply(w, http.StatusGone, protocol.ErrorBody{Error: "too old"})
+			return
+		}
 		out := protocol.WatchReply{StoreRevision: s.revision, Events: s.eventsAfter(r.RemoteAddr, prefix, since)}
 		changed, down := s.changed, s.outage != nil && s.outage(r.RemoteAddr)
 		s.mu.Unlock()
@@ -197,11 +202,15 @@
 	}
 }
 
+// keptEvents is how many changes a watch may go back at the least.
+const keptEvents = 10000
+
 // eventsAfter lists the changes under a prefix since a revision, as a host sees them.
 func (s *Store) eventsAfter(host, prefix string, since uint64) []protocol.Event {
 	events := []protocol.Event{}
-	for _, e := range s.events {
-		if e.Revision <= since || !strings.HasPrefix(e.Set+e.Delete, prefix) {
+	first := sort.Search(len(s.events), func(i int) bool { return s.events[i].Revision > since })
+	for _, e := range s.events[first:] {
+		if !strings.HasPrefix(e.Set+e.Delete, prefix) {
 			continue
 		}
 		if e.Set != "" {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -84,11 +84,9 @@
 		return
 	case <-time.After(late):
 	}
-	cl := &http.Client{Transport: &http.Transport{DialContext: w.c.net.Dialer(w.id)}, Timeout: 4 * time.Second}
+	cl := w.c.client(w.id)
 	defer cl.CloseIdleConnections()
-	if resp, err := cl.Post("http://"+w.c.Nodes[node]+"/agent/beat", "application/cbor", bytes.NewReader(raw)); err == nil {
-		resp.Body.Close()
-	}
+	_, _, _ = post(w.c.ctx, cl, "http://"+w.c.Nodes[node]+"/agent/beat", raw)
 }
 
 // live boots a worker and lets it report until its machine is gone.
@@ -98,14 +96,14 @@
 		return
 	case <-time.After(boot):
 	}
-	cl := &http.Client{Transport: &http.Transport{DialContext: w.c.net.Dialer(w.id)}, Timeout: 4 * time.Second}
+	cl := w.c.client(w.id)
 	defer cl.CloseIdleConnections()
 	w.c.mu.Lock()
 	nodes := slices.Sorted(maps.Keys(w.c.Nodes))
 	at := w.c.rng.IntN(len(nodes))
 	w.okSent = time.Now()
 	w.c.mu.Unlock()
-	go w.watchLease(ctx)
+	w.watchLease(ctx)
 	for ctx.Err() == nil {
 		w.c.mu.Lock()
 		hung := time.Until(w.hanging)
@@ -127,17 +125,35 @@
 
 // watchLease ends the worker's lease in time, even while a report is under way.
 func (w *worker) watchLease(ctx context.Context) {
-	for ctx.Err() == nil {
-		w.c.mu.Lock()
-		w.expire()
-		left := w.c.rules.Lease - time.Since(w.okSent) + 10*time.Millisecond
-		w.c.mu.Unlock()
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(left):
-		}
+	if ctx.Err() != nil {
+		return
+	}
+	w.c.mu.Lock()
+	w.expire()
+	left := w.c.rules.Lease - time.Since(w.okSent) + 10*time.Millisecond
+	w.c.mu.Unlock()
+	time.AfterFunc(left, func() { w.watchLease(ctx) })
+}
+
+// answerTimeout is how long a worker waits for an answer.
+const answerTimeout = 4 * time.Second
+
+// post sends a report and reads the answer.
+func post(ctx context.Context, cl *http.Client, url string, raw []byte) (code int, body []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(raw))
+	if err != nil {
+		return 0, nil, err
+	}
+	req.Header.Set("Content-Type", "application/cbor")
+	resp, err := cl.Do(req)
+	if err != nil {
+		return 0, nil, err
 	}
+	defer resp.Body.Close()
+	body, err = io.ReadAll(resp.Body)
+	return resp.StatusCode, body, err
 }
 
 // reportTo reports to one of the nodes and tells which one comes next, and when.
@@ -145,22 +161,20 @@
 	sent := time.Now()
 	raw, session, unreachable := w.nextReport(nodes)
 	elsewhere := (at + 1) % len(nodes)
-	resp, err := cl.Post("http://"+w.c.Nodes[nodes[at]]+"/agent/beat", "application/cbor", bytes.NewReader(raw))
+	code, out, err := post(w.c.ctx, cl, "http://"+w.c.Nodes[nodes[at]]+"/agent/beat", raw)
 	if err != nil {
 		return elsewhere, time.Second
 	}
-	out, _ := io.ReadAll(resp.Body)
-	resp.Body.Close()
 	switch {
 	case unreachable:
 		return elsewhere, time.Second
-	case resp.StatusCode == http.StatusOK:
+	case code == http.StatusOK:
 		var r protocol.ReportReply
 		if protocol.Unmarshal(out, &r) == nil {
 			w.take(&r, session, sent)
 		}
 		return at, time.Duration(float64(w.c.rules.Report) * (0.75 + 0.5*rand.Float64()))
-	case resp.StatusCode == http.StatusMisdirectedRequest:
+	case code == http.StatusMisdirectedRequest:
 		var f protocol.Redirect
 		_ = protocol.Unmarshal(out, &f)
 		if owner, known := slices.BinarySearch(nodes, f.Owner); known && owner != at {
--- a/scheduler/ledger_test.go
+++ b/scheduler/ledger_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"junipershelf/internal/bounds"
 	"junipershelf/job"
 	"junipershelf/partition"
 	"junipershelf/protocol"
@@ -219,3 +220,67 @@
 		t.Errorf("%d given once its task 0 is known to be gone, want 4", n)
 	}
 }
+
+// With one removal more than is remembered, an owner that has not heard of the older ones is
+// told of the whole fleet anew; one that is up to date is told of what is new.
+func TestOneRemovalMoreThanIsRemembered(t *testing.T) {
+	const most = minRemoved
+	s := New(testConfig, teams(), 1, capacityOf, mirror())
+	var states []partition.MachineState
+	var ids []string
+	for i := range most + 1 {
+		ids = append(ids, fmt.Sprintf("i-%05d", i))
+		states = append(states, machine(ids[i]))
+	}
+	states = append(states, machine("z"))
+	s.TakeUpdate(0, firstUpdate(1, states...), t0)
+	_, _, before := s.FleetSince(0)
+	for i, step := range []struct {
+		removed []string
+		whole   bool
+	}{{ids[:most], false}, {ids[most:], true}} {
+		n := uint64(i + 2)
+		s.TakeUpdate(0, partition.Update{Sequence: n, BaseVersion: n - 1, Version: n, Removed: step.removed}, t0)
+		s.RunCycle(t0)
+		known := s.KnownVersion(before)
+		changed, gone, version := s.FleetSince(known)
+		if (known == 0) != step.whole || step.whole != (s.Bounds[bounds.RemovedMachines] == 1) {
+			t.Errorf("step %d: told from version %d, bound met %d times", i, known, s.Bounds[bounds.RemovedMachines])
+		}
+		if step.whole && (len(changed) != 1 || changed[0].ID != "z") || !step.whole && len(gone) != most {
+			t.Errorf("step %d: %d machines and %d gone are told", i, len(changed), len(gone))
+		}
+		if s.KnownVersion(version) != version {
+			t.Errorf("step %d: an owner that is up to date is told of the whole fleet", i)
+		}
+	}
+}
+
+// While finished tasks find room in the placements' records, a job whose own record cannot
+// hold their ranges goes on; beyond that its holes are filled first.
+func TestJobWithMoreRangesThanItsRecordHolds(t *testing.T) {
+	for _, c := range []struct{ most, want int }{{1000, 4}, {100, 0}} {
+		cfg := testConfig
+		cfg.ValueBytes, cfg.MaxFinishedTasks = 2048, c.most
+		spec := protocol.JobSpec{UID: "wk-1", Class: "q", Team: "red", CPUs: 1, MemGB: 1, Tasks: 2000, ExpectedS: 40}
+		limits := []Team{{Name: "red", Guarantee: job.Resources{CPUs: 1000}, Limit: job.Resources{CPUs: 1000}}}
+		s := New(cfg, limits, 1, capacityOf, mirror(spec))
+		var done []partition.CompletedTask
+		for i := range 400 {
+			done = append(done, partition.CompletedTask{Task: job.Task{Job: "wk-1", Index: 2*i + 1}})
+		}
+		held := partition.HeldTasks{Job: "wk-1", Team: "red", Resources: job.Resources{CPUs: 0.001}, Phase: partition.PhaseRunning}
+		for i := range 400 {
+			held.Tasks.Add(2 * i)
+		}
+		busy, free := machine("a"), machine("b")
+		busy.Free, busy.Held = job.Resources{}, []partition.HeldTasks{held}
+		update := firstUpdate(1, busy, free)
+		update.Completed = done
+		s.TakeUpdate(0, update, t0)
+		s.RunCycle(t0)
+		if n := len(assignedTasks(s, 0)); n < c.want || (n > 0) != (c.want > 0) || (s.Bounds[bounds.FinishedTasks] > 0) != (c.want == 0) {
+			t.Errorf("with room for %d finished tasks %d are assigned, bound met %d times", c.most, n, s.Bounds[bounds.FinishedTasks])
+		}
+	}
+}
