--- a/cmd/junipershelf/main.go
+++ b/cmd/junipershelf/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -19,6 +20,7 @@
 	"junipershelf/peer"
 	"junipershelf/policy"
 	"junipershelf/settings"
+	"junipershelf/sizing"
 )
 
 const version = "0.1.0"
@@ -84,6 +86,12 @@
 	if err != nil {
 		fail(exitSettings, "policy: ", err)
 	}
+	for _, short := range sizing.Check(set.Facts, sizing.Fleet{Machines: pol.FleetMachines, TasksPerMachine: pol.TasksPerMachine}) {
+		if short.Fatal {
+			fail(exitSettings, "settings: ", errors.New(short.String()))
+		}
+		fmt.Fprintln(os.Stderr, "junipershelf: settings: "+short.String())
+	}
 	return set, pol
 }
 
--- a/controller/day_test.go
+++ b/controller/day_test.go
@@ -416,3 +416,27 @@
 		d.finish(map[string]int{"wk-1": 10}, 5*time.Minute)
 	})
 }
+
+// TestJudgeSeesMachinesThatWereNotReturned is the judge's own test: with a cloud that says a
+// machine is gone and lets it go on, tasks run twice, and the judge sees it.
+func TestJudgeSeesMachinesThatWereNotReturned(t *testing.T) {
+	play(t, func(t *testing.T, d *day) {
+		d.cloud.KeepsReturned = true
+		d.cloud.RunFor = func(string) time.Duration { return time.Minute }
+		d.submit(spec("wk-1", "red", 6))
+		time.Sleep(15 * time.Second)
+		silent := d.cloud.MachineOf("wk-1")
+		d.net.Cut(func(a, b string) bool { return a == silent || b == silent })
+		time.Sleep(30 * time.Second)
+		d.net.Cut(nil)
+		seen := false
+		d.cloud.Lock(func() {
+			for _, fault := range d.cloud.Faults {
+				seen = seen || strings.HasPrefix(fault, "ran_twice")
+			}
+		})
+		if !seen {
+			t.Error("tasks ran on a machine that was not returned and elsewhere, and the judge saw nothing")
+		}
+	})
+}
--- a/controller/statistics.go
+++ b/controller/statistics.go
@@ -81,12 +81,20 @@
 		"granted", granted, "granted_changes", grantedChanges,
 		"commits", work.commits, "compactions", work.compactions, "commit_ms", work.longest.commit.Milliseconds(),
 		"cycles", work.cycles, "cycle_ms", work.longest.cycle.Milliseconds(),
-		"syncs", work.syncs, "via_mailbox", work.viaMailbox, "reports", work.reports, "reports_held", work.reportsHeld,
+		"syncs", work.syncs, "peer_kb", c.takePeerBytes()>>10, "via_mailbox", work.viaMailbox, "reports", work.reports, "reports_held", work.reportsHeld,
 		"machines", machines, "tasks", tasks, "uncompacted", uncompacted, "fill", int(100*p.ShardFill()),
 		"polls_refused", c.budgets.takeRefused(), "heap_mb", mem.HeapInuse>>20, "goroutines", runtime.NumGoroutine(),
 		"bounds", c.bounds.take())
 }
 
+// takePeerBytes gives the bytes of the calls to other controllers since the last look.
+func (c *Controller) takePeerBytes() (bytes int64) {
+	for _, client := range c.peers {
+		bytes += client.TakeBytes()
+	}
+	return bytes
+}
+
 // dropOverJobs drops the counts of jobs that are over. The leader tells no end of a job, so
 // they stayed for as long as the view did. The caller holds the lock.
 func (c *Controller) dropOverJobs() {
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -48,18 +48,21 @@
 	gone    map[string]time.Time // cancelled jobs
 	on      usage
 
-	RunFor      func(piece string) time.Duration
-	Sick        map[string]bool // machines that fail every task
-	Broken      map[string]bool // jobs that fail everywhere
-	NeverBoots  func(id string) bool
-	Unreachable map[string]bool              // machines that no answer reaches
-	Copies      func() (time.Duration, bool) // whether a copy of a report comes so much later
-	Keep        bool                         // copies of reports are kept for Resend
-	kept        map[string][]byte            // the first one of each machine since then
-	Down        bool
-	Results     map[string]int
-	Faults      []string
-	Starts      int
+	RunFor     func(piece string) time.Duration
+	Sick       map[string]bool // machines that fail every task
+	Broken     map[string]bool // jobs that fail everywhere
+	NeverBoots func(id string) bool
+	// KeepsReturned is a double: machines that are returned go on as if they were not, and no
+	// lease ends.
+	KeepsReturned bool
+	Unreachable   map[string]bool              // machines that no answer reaches
+	Copies        func() (time.Duration, bool) // whether a copy of a report comes so much later
+	Keep          bool                         // copies of reports are kept for Resend
+	kept          map[string][]byte            // the first one of each machine since then
+	Down          bool
+	Results       map[string]int
+	Faults        []string
+	Starts        int
 	// StartsAfterCancel counts tasks that began to run after their job's user had been
 	// told that it is cancelled, OrderedAfterCancel those whose start came after that, a
 	// moment for what was under way left out.
--- a/internal/standin/cloudserver.go
+++ b/internal/standin/cloudserver.go
@@ -73,7 +73,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range h.IDs {
-		if x := c.workers[id]; x != nil {
+		if x := c.workers[id]; x != nil && !c.KeepsReturned {
 			x.end()
 			delete(c.workers, id)
 			c.Room[x.machineType.Name]++
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -125,7 +125,7 @@
 
 // watchLease ends the worker's lease in time, even while a report is under way.
 func (w *worker) watchLease(ctx context.Context) {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || w.c.KeepsReturned {
 		return
 	}
 	w.c.mu.Lock()
@@ -212,7 +212,7 @@
 }
 
 func (w *worker) expire() {
-	if !w.okSent.IsZero() && time.Since(w.okSent) > w.c.rules.Lease {
+	if !w.c.KeepsReturned && !w.okSent.IsZero() && time.Since(w.okSent) > w.c.rules.Lease {
 		w.clear()
 		w.session++
 		w.okSent = time.Now()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -131,6 +132,7 @@
 type Client struct {
 	calls *httpcall.Client
 	addr  string
+	bytes atomic.Int64 // sent and received
 }
 
 // ClientLimits bound a client: its connections, and the bytes of an answer.
@@ -138,7 +140,7 @@
 
 // NewClient makes a client.
 func NewClient(dial httpcall.Dial, addr string, limits ClientLimits) *Client {
-	return &Client{httpcall.New(dial, addr, limits.Connections, limits.ReplyBytes), addr}
+	return &Client{calls: httpcall.New(dial, addr, limits.Connections, limits.ReplyBytes), addr: addr}
 }
 
 func (c *Client) do(ctx context.Context, path string, timeout time.Duration, q, a any) error {
@@ -149,6 +151,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	code, reply, err := c.calls.Raw(ctx, "POST", path, "application/msgpack", body)
+	c.bytes.Add(int64(len(body) + len(reply)))
 	if err != nil {
 		return err
 	}
@@ -161,6 +164,9 @@
 	return nil
 }
 
+// TakeBytes gives the bytes of bodies sent and received since the last look.
+func (c *Client) TakeBytes() int64 { return c.bytes.Swap(0) }
+
 // Sync calls the leader.
 func (c *Client) Sync(ctx context.Context, q Sync) (a SyncReply, err error) {
 	err = c.do(ctx, "/sync", 1500*time.Millisecond, q, &a)
--- a/policy/default.star
+++ b/policy/default.star
@@ -30,4 +30,7 @@
 ordinary_rank = 3       # priorities up to this (0 critical, 1 urgent) may rent machines on demand
 ordinary_wait_s = 5.0  # when their work has waited this long and no spot is to be had
 
+fleet_machines = 0      # the most machines that are expected: the settings are checked against them; 0: they are not
+tasks_per_machine = 8   # and how many tasks run on each
+
 team_weights = {}       # a team's share beside its guarantee, by name
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,6 +47,8 @@
 	RefusalS            float64 `star:"refusal_s" min:"0.5" max:"3600"`
 	OnDemandRank        int     `star:"ordinary_rank" min:"-1" max:"3"`
 	OnDemandWaitS       float64 `star:"ordinary_wait_s" min:"0" max:"1e6"`
+	FleetMachines       int     `star:"fleet_machines" min:"0" max:"1e6"`
+	TasksPerMachine     int     `star:"tasks_per_machine" min:"1" max:"1000"`
 
 	TeamWeights map[string]float64
 }
