Less memory for connections; a record that is over its size is composed a few times, not eight

Cause, by profile of the loopback fleet at 4,000 machines and 125 MB: the leader spent half of its processor time in the collector, near its memory limit, with 2,270 open connections, and a seventh in composing full records again and again to find what fits.

Change: connections may take a quarter of the memory; what fits a record is estimated from its size with and without the new placements; a buddy list is walked, not made.

--- a/internal/loopfleet/loopfleet.go
+++ b/internal/loopfleet/loopfleet.go
@@ -36,7 +36,7 @@
 	controllers    = 3
 	slots          = 8 // of a machine
 	taskSeconds    = 25.0
-	tasksPerJob    = 50
+	tasksPerJob    = 150
 	reportSeconds  = 5.0
 	leaseSeconds   = 26.5
 	cancelSeconds  = 51.5
--- a/partition/overflow.go
+++ b/partition/overflow.go
@@ -146,9 +146,9 @@
 	case len(p.targets) == 0:
 		return func(func(int) bool) {}
 	case !all:
-		return slices.Values(preferredlist.ListFrom(p.masks, at, len(p.fleet), min(p.cfg.Buddies, len(p.fleet))))
+		return preferredlist.Walk(p.masks, at, len(p.fleet), p.cfg.Buddies)
 	case len(p.targets) > len(p.fleet)/fewTargets:
-		return preferredlist.Walk(p.masks, at, len(p.fleet))
+		return preferredlist.Walk(p.masks, at, len(p.fleet), len(p.fleet))
 	}
 	list := slices.DeleteFunc(slices.Clone(p.targets), func(n int) bool { return n == at })
 	slices.SortFunc(list, func(a, b int) int { return cmp.Compare(p.maskRank[at^a], p.maskRank[at^b]) })
--- a/partition/shard.go
+++ b/partition/shard.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"sort"
 	"time"
 )
 
@@ -147,17 +146,24 @@
 	if w.Bytes <= limit || adds == 0 {
 		return w
 	}
-	// The most that fit: fewer always take less.
-	most := sort.Search(adds, func(n int) bool {
-		fewer, _ := p.composeShard(s, machines, n+1)
-		return fewer.Bytes > limit
-	})
-	w, _ = p.composeShard(s, machines, most)
+	w = p.composeWithin(s, machines, adds, w.Bytes, limit)
 	s.bytes = max(s.bytes, w.Bytes)
 	releaseUncommitted(s, machines, w.added)
 	return w
 }
 
+// composeWithin makes a record with as many new placements as fit, nearly: all of them, which
+// take so many bytes, do not.
+func (p *Partition) composeWithin(s *shard, machines []*Machine, all, bytes, limit int) ShardWrite {
+	none, _ := p.composeShard(s, machines, 0)
+	for most := all * max(limit-none.Bytes, 0) / max(bytes-none.Bytes, 1); most > 0; most = most * 7 / 8 {
+		if w, _ := p.composeShard(s, machines, most); w.Bytes <= limit {
+			return w
+		}
+	}
+	return none
+}
+
 // allPlacements is more new placements than any record has.
 const allPlacements = math.MaxInt
 
--- a/preferredlist/preferredlist.go
+++ b/preferredlist/preferredlist.go
@@ -55,30 +55,22 @@
 	if count < 2 || most < 1 {
 		return nil
 	}
-	return ListFrom(Masks(Dimension(count)), i, count, most)
+	return slices.Collect(Walk(Masks(Dimension(count)), i, count, most))
 }
 
-// ListFrom is List with masks already made.
-func ListFrom(masks []uint32, i, count, most int) []int {
-	out := make([]int, 0, min(most, count-1))
-	for _, m := range masks {
-		if len(out) == most {
-			break
-		}
-		if j := i ^ int(m); j < count {
-			out = append(out, j)
-		}
-	}
-	return out
-}
-
-// Walk gives node i's whole list among count nodes, one entry after the other.
-func Walk(masks []uint32, i, count int) iter.Seq[int] {
+// Walk gives the first most entries of node i's list among count nodes, one after the other.
+func Walk(masks []uint32, i, count, most int) iter.Seq[int] {
 	return func(yield func(int) bool) {
+		given := 0
 		for _, m := range masks {
-			if j := i ^ int(m); j < count && !yield(j) {
+			j := i ^ int(m)
+			if j >= count {
+				continue
+			}
+			if given == most || !yield(j) {
 				return
 			}
+			given++
 		}
 	}
 }
--- a/sizing/sizing.go
+++ b/sizing/sizing.go
@@ -20,7 +20,7 @@
 // Parts of the memory that bounds are derived from. They overlap: not all is needed at once.
 const (
 	machineShare    = 0.6
-	connectionShare = 0.5
+	connectionShare = 0.25
 	replyShare      = 0.125
 )
 
