--- a/controller/large_fleet_test.go
+++ b/controller/large_fleet_test.go
@@ -117,9 +117,9 @@
 	})
 }
 
-// TestLeaderEndsWhileAFleetBoots ends the leader while most machines of a fleet boot: what is
+// TestLargeFleetBootsAsItsLeaderEnds ends the leader while most machines of a fleet boot: what is
 // on its way is neither given up nor rented twice.
-func TestLeaderEndsWhileAFleetBoots(t *testing.T) {
+func TestLargeFleetBootsAsItsLeaderEnds(t *testing.T) {
 	playIn(t, largeWorld(largeFleet), func(t *testing.T, d *day) {
 		d.cloud.RunFor = func(string) time.Duration { return 3 * time.Minute }
 		d.cloud.Room["quad"] = 2 * largeFleet
@@ -138,10 +138,10 @@
 	})
 }
 
-// TestLargestJob plays a job of the largest size on an empty fleet: it keeps the whole fleet
+// TestLargeFleetLargestJob plays a job of the largest size on an empty fleet: it keeps the whole fleet
 // at work, though its tasks end in any order, and is cancelled in time while thousands of them
 // run. Beside it the leader ends.
-func TestLargestJob(t *testing.T) {
+func TestLargeFleetLargestJob(t *testing.T) {
 	w := largeWorld(largeFleet)
 	w.facts = strings.ReplaceAll(w.facts, fmt.Sprintf("cpus_max = %.1f", 4*largeFleet*0.7), fmt.Sprintf("cpus_max = %.1f", 4*largeFleet*1.0))
 	for team := range w.rules.Limits {
@@ -171,9 +171,9 @@
 	})
 }
 
-// TestManyWaitingTasks plays a hundred thousand waiting tasks of many jobs, and half the state
+// TestLargeFleetManyWaitingTasks plays a hundred thousand waiting tasks of many jobs, and half the state
 // service's rates from one moment on.
-func TestManyWaitingTasks(t *testing.T) {
+func TestLargeFleetManyWaitingTasks(t *testing.T) {
 	playIn(t, largeWorld(largeFleet), func(t *testing.T, d *day) {
 		d.cloud.RunFor = func(piece string) time.Duration { return time.Duration(60+len(piece)) * time.Second }
 		d.jobsAtOnce(250, largeFleet/10)
--- a/controller/mirror.go
+++ b/controller/mirror.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"junipershelf/internal/bounds"
+	"junipershelf/internal/httpcall"
 	"junipershelf/job"
 	"junipershelf/protocol"
 	"junipershelf/statestore"
@@ -37,6 +39,9 @@
 			if errors.Is(err, statestore.ErrRevisionCompacted) {
 				revision = 0
 			}
+			if errors.Is(err, httpcall.ErrReplyTooLong) {
+				c.bounds.met(bounds.Replies)
+			}
 			sleep(ctx, mirrorWatchRetry)
 			continue
 		}
--- a/controller/users.go
+++ b/controller/users.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"junipershelf/api"
+	"junipershelf/internal/bounds"
 	"junipershelf/job"
 	"junipershelf/protocol"
 	"junipershelf/statestore"
@@ -165,6 +166,7 @@
 		return unavailable
 	}
 	if len(transaction.Changes[0].Data)+recordGrowth > c.store.ValueBytes() {
+		c.bounds.met(bounds.JobDescription)
 		// One that was accepted under larger limits stays known.
 		return c.answerRepeated(ctx, spec.UID, api.ErrorResponse(http.StatusUnprocessableEntity, "the job's description is too large to keep"))
 	}
