Preemption looks at the fleet once a cycle, not once for each task or job

Need: at 4,000 machines a search for victims looked at all machines for each waiting job, though jobs of one class and team find the same; tasks being stopped were each looked for on all machines. What one search did not find is not searched again in the cycle: room and victims only become fewer.

--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"junipershelf/job"
@@ -27,8 +28,8 @@
 // that it stops them.
 func (s *Scheduler) Preemptions(owner int) []job.Task {
 	var out []job.Task
-	for task := range s.preempted {
-		if m, held := s.holderOf(task); m != nil && m.Owner == owner && !held.Stopping {
+	for task, h := range s.preemptedHolders() {
+		if h.machine.Owner == owner && !h.held.Stopping {
 			out = append(out, task)
 		}
 	}
@@ -36,16 +37,33 @@
 	return out
 }
 
-// holderOf finds the machine that holds a task.
-func (s *Scheduler) holderOf(task job.Task) (*Machine, *partition.HeldTasks) {
+// holder is a machine that holds a task, and the run that the task is of.
+type holder struct {
+	machine *Machine
+	held    *partition.HeldTasks
+}
+
+// preemptedHolders finds the machines that hold the tasks that are to be stopped, by one look
+// at all machines.
+func (s *Scheduler) preemptedHolders() map[job.Task]holder {
+	holders := map[job.Task]holder{}
+	if len(s.preempted) == 0 {
+		return holders
+	}
+	byJob := map[string][]job.Task{}
+	for task := range s.preempted {
+		byJob[task.Job] = append(byJob[task.Job], task)
+	}
 	for _, m := range s.machines {
 		for i := range m.Held {
-			if m.Held[i].Job == task.Job && m.Held[i].Tasks.Has(task.Index) {
-				return m, &m.Held[i]
+			for _, task := range byJob[m.Held[i].Job] {
+				if m.Held[i].Tasks.Has(task.Index) {
+					holders[task] = holder{m, &m.Held[i]}
+				}
 			}
 		}
 	}
-	return nil, nil
+	return holders
 }
 
 // victim is a running task that may be stopped.
@@ -68,13 +86,24 @@
 	victims  map[*Machine][]*victim // nil until they are needed
 	asked    float64                // CPUs that the jobs looked at so far wait for
 	count    int
+	hopeless map[demand]bool // for which no victims were found
+}
+
+// demand is all that a search for victims depends on, of jobs that any zone may take. What one
+// did not find in a cycle no other does: room and victims only become fewer.
+type demand struct {
+	team, rank   int
+	need         job.Resources
+	zone, types  string
+	spot, inside bool
+	service      bool
 }
 
 // preempt stops work to make room where the protocol allows it: for work of a higher
 // priority, and to give a team its guarantee, work that another team runs beyond its own. The
 // cheapest loss goes first: what saves its progress, then what ran the least.
 func (s *Scheduler) preempt(waiting []*WaitingJob, now time.Time) {
-	p := preemption{Scheduler: s, now: now, beyond: make([]float64, len(s.Teams))}
+	p := preemption{Scheduler: s, now: now, beyond: make([]float64, len(s.Teams)), hopeless: map[demand]bool{}}
 	p.countReleases()
 	for i := range s.Teams {
 		p.beyond[i] = s.Teams[i].used.CPUs - s.Teams[i].Guarantee.CPUs
@@ -92,13 +121,14 @@
 
 // countReleases works out what room is coming anyway.
 func (p *preemption) countReleases() {
+	holders := p.preemptedHolders()
 	for task := range p.preempted {
-		m, held := p.holderOf(task)
-		if m == nil {
+		h, held := holders[task]
+		if !held {
 			delete(p.preempted, task)
 			continue
 		}
-		p.coming += held.Resources.CPUs
+		p.coming += h.held.Resources.CPUs
 	}
 	for _, e := range p.entries {
 		if e.live != nil && !e.live.IsService() {
@@ -135,8 +165,15 @@
 			p.coming -= need.CPUs
 			continue
 		}
+		key, keyed := demandOf(w, need, inside)
+		if keyed && p.hopeless[key] {
+			return
+		}
 		m, victims := p.cheapestVictims(w, need, inside)
 		if victims == nil {
+			if keyed {
+				p.hopeless[key] = true
+			}
 			return
 		}
 		if w.Job.IsService() && !p.assignReplica(w, m) {
@@ -152,6 +189,17 @@
 	}
 }
 
+// demandOf is what a job's search for victims depends on; keyed is false where it depends on
+// more.
+func demandOf(w *WaitingJob, need job.Resources, inside bool) (key demand, keyed bool) {
+	spec := &w.Job.Spec
+	if spec.SameZone || spec.SpreadZones {
+		return key, false
+	}
+	return demand{team: w.Team, rank: w.Job.Rank, need: need, zone: spec.Zone, types: strings.Join(spec.MachineTypes, " "),
+		spot: spec.Spot, inside: inside, service: w.Job.IsService()}, true
+}
+
 // assignReplica gives a replica to the machine whose tasks are stopped for it at once, to the
 // head of the queue: else what waits there had the room.
 func (p *preemption) assignReplica(w *WaitingJob, m *Machine) bool {
