--- a/controller/users.go
+++ b/controller/users.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"junipershelf/api"
-	"junipershelf/internal/bounds"
 	"junipershelf/job"
 	"junipershelf/protocol"
 	"junipershelf/statestore"
@@ -20,12 +19,6 @@
 	// userRetryPause is the pause before such a call is repeated. Once the service is known
 	// to grant less, what is beyond that is refused by the client and not sent.
 	userRetryPause = 50 * time.Millisecond
-	// maxCancelAttempts bounds how often a cancellation meets another change of its job.
-	maxCancelAttempts = 6
-	// recordGrowth is how much a job's record may grow, by its finished tasks.
-	recordGrowth = 800
-	// roundingError is allowed where a need is compared with a team's limit.
-	roundingError = 1e-6
 )
 
 var unavailable = api.ErrorResponse(http.StatusServiceUnavailable, "try again")
@@ -147,63 +140,6 @@
 	return api.Response{Code: http.StatusOK, Body: protocol.JobStatus{UID: uid, Status: status, Done: &done, Running: &running}}
 }
 
-// Submit accepts a job once it stands in the state service.
-func (c *Controller) Submit(ctx context.Context, spec *protocol.JobSpec) api.Response {
-	refusal := c.checkFeasible(spec)
-	if !c.budgets.take(callSubmit) {
-		return unavailable
-	}
-	if refusal != nil {
-		return c.answerRepeated(ctx, spec.UID, *refusal)
-	}
-	if final, _ := c.rememberedFinal(spec.UID); final != nil {
-		return c.answerState(spec.UID, jobState{final: final})
-	}
-	now := time.Now()
-	rec := job.Record{Spec: *spec, SubmittedMS: now.UnixMilli()}
-	transaction := protocol.Transaction{Guards: []protocol.Guard{{Key: job.Key(spec.UID)}, {Key: job.FinalKey(spec.UID)}}}
-	if err := transaction.Put(job.Key(spec.UID), rec); err != nil {
-		return unavailable
-	}
-	if len(transaction.Changes[0].Data)+recordGrowth > c.store.ValueBytes() {
-		c.bounds.met(bounds.JobDescription)
-		// One that was accepted under larger limits stays known.
-		return c.answerRepeated(ctx, spec.UID, api.ErrorResponse(http.StatusUnprocessableEntity, "the job's description is too large to keep"))
-	}
-	revision, err := c.commitForUser(ctx, transaction)
-	var conflict *statestore.Conflict
-	switch {
-	case err == nil:
-		c.accepted(rec, revision, now)
-		return api.Response{Code: http.StatusCreated, Body: protocol.JobStatus{UID: spec.UID, Status: job.StatusPending}}
-	case errors.As(err, &conflict):
-		return c.answerRepeated(ctx, spec.UID, unavailable)
-	}
-	return unavailable
-}
-
-// commitForUser runs a transaction for a user's call.
-func (c *Controller) commitForUser(ctx context.Context, t protocol.Transaction) (revision uint64, err error) {
-	err = retryRateLimited(ctx, func(ctx context.Context) error {
-		revision, err = c.store.Commit(ctx, statestore.PriorityUser, t)
-		return err
-	})
-	return revision, err
-}
-
-// accepted takes a job that was just written into the mirror.
-func (c *Controller) accepted(rec job.Record, revision uint64, now time.Time) {
-	spec := &rec.Spec
-	c.mu.Lock()
-	err := c.jobs.Set(spec.UID, rec, revision, now)
-	c.mu.Unlock()
-	if err != nil {
-		c.log.Error("a job's own record cannot be read", "job", spec.UID, "err", err)
-	}
-	c.log.Debug("job is accepted", "job", spec.UID, "class", spec.Class, "tasks", spec.Tasks, "cpus", spec.CPUs,
-		"expected_s", spec.ExpectedS, "deadline_s", spec.DeadlineS, "image", spec.Image, "gb", spec.ImageGB, "after", time.Since(now))
-}
-
 // answerRepeated answers a submission that would be refused: a job that was accepted stays
 // accepted, whatever has changed since.
 func (c *Controller) answerRepeated(ctx context.Context, uid string, refusal api.Response) api.Response {
@@ -217,49 +153,6 @@
 	return refusal
 }
 
-// RejectSubmission answers a malformed submission with 400, unless it repeats one that was
-// accepted. Only a job that this node has met is looked up: what nobody knows is not worth a
-// call, and must not wait for a state service that is out.
-func (c *Controller) RejectSubmission(ctx context.Context, uid, why string) api.Response {
-	c.mu.Lock()
-	_, known := c.finals.get(uid)
-	known = known || c.jobs.Get(uid) != nil || c.jobs.HasEnded(uid)
-	c.mu.Unlock()
-	if known {
-		if a := c.Status(ctx, uid); a.Code != http.StatusNotFound {
-			return a
-		}
-	}
-	return api.ErrorResponse(http.StatusBadRequest, why)
-}
-
-// checkFeasible refuses a job that can never run, or that cannot be judged yet.
-func (c *Controller) checkFeasible(s *protocol.JobSpec) *api.Response {
-	refuse := func(code int, why string) *api.Response {
-		r := api.ErrorResponse(code, why)
-		return &r
-	}
-	team, ok := c.teams[s.Team]
-	if !ok {
-		return refuse(http.StatusUnprocessableEntity, "unknown team")
-	}
-	limit := c.settings.Facts.Teams[team]
-	together := 1.0 // tasks that run at the same time: of an array one at least
-	if s.Shape != protocol.ShapeArray {
-		together = float64(s.Tasks)
-	}
-	if s.CPUs*together > limit.CPUsMax+roundingError || s.Accelerators*together > limit.GPUsMax+roundingError {
-		return refuse(http.StatusUnprocessableEntity, "the job needs more than the team's limit")
-	}
-	if c.catalogue.empty() {
-		return refuse(http.StatusServiceUnavailable, "machine types are not known yet")
-	}
-	if !c.catalogue.hasRoomFor(s) {
-		return refuse(http.StatusUnprocessableEntity, "a task fits no allowed machine type")
-	}
-	return nil
-}
-
 // Status answers a poll: finals from memory, live jobs from the mirror once that is confirmed
 // after the poll came in, the rest by a read.
 func (c *Controller) Status(ctx context.Context, uid string) api.Response {
@@ -297,58 +190,6 @@
 	return l.Finished.Len(), true
 }
 
-// Cancel ends a job, unless it is done.
-func (c *Controller) Cancel(ctx context.Context, uid string) api.Response {
-	if !c.budgets.take(callCancel) {
-		return unavailable
-	}
-	ctx, cancel := context.WithTimeout(ctx, 2*statestore.CallTimeout)
-	defer cancel()
-	for range maxCancelAttempts {
-		state, err := c.lookup(ctx, uid)
-		switch {
-		case err != nil:
-			return unavailable
-		case state.final != nil:
-			return api.Response{Code: http.StatusOK, Body: protocol.JobStatus{UID: uid, Status: state.final.Status}}
-		case state.live == nil:
-			return api.ErrorResponse(http.StatusNotFound, "no such job")
-		}
-		err = c.cancelLive(ctx, uid, state)
-		var conflict *statestore.Conflict
-		switch {
-		case errors.As(err, &conflict):
-			continue // it has changed meanwhile
-		case err != nil:
-			return unavailable
-		}
-		c.replicateNow(ctx)
-		return api.Response{Code: http.StatusOK, Body: protocol.JobStatus{UID: uid, Status: job.StatusCancelled}}
-	}
-	return unavailable
-}
-
-// cancelLive writes the cancellation of a live job.
-func (c *Controller) cancelLive(ctx context.Context, uid string, state jobState) error {
-	finished, err := job.ParseRanges(state.live.Done)
-	if err != nil {
-		return err
-	}
-	final := job.Final{Status: job.StatusCancelled, Done: finished.Len()}
-	t := protocol.Transaction{
-		Guards:  []protocol.Guard{{Key: job.Key(uid), Revision: state.revision}},
-		Changes: []protocol.Change{{Delete: job.Key(uid)}},
-	}
-	if err := t.Put(job.FinalKey(uid), final); err != nil {
-		return err
-	}
-	if _, err := c.commitForUser(ctx, t); err != nil {
-		return err
-	}
-	c.rememberFinal(uid, final)
-	return nil
-}
-
 const (
 	// storeLost: a node that the state service has not answered for this long has lost it.
 	storeLost = 2500 * time.Millisecond
--- a/partition/scale_test.go
+++ b/partition/scale_test.go
@@ -7,17 +7,14 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"junipershelf/internal/sizebench"
 	"junipershelf/job"
 	"junipershelf/protocol"
 )
 
-// fleetSizes are the sizes at which an owner's costs are measured: the deployments so far,
-// the largest that is served, and half as many again.
-var fleetSizes = []int{600, 1200, 4000, 6000}
-
 const (
-	slotsPerMachine = 8
-	ownersOfFleet   = 3
+	slotsPerMachine = sizebench.SlotsPerMachine
+	ownersOfFleet   = sizebench.Owners
 	tasksPerJob     = 100
 )
 
@@ -109,15 +106,9 @@
 	return changes
 }
 
-func bySize(b *testing.B, run func(b *testing.B, machines int)) {
-	for _, machines := range fleetSizes {
-		b.Run(fmt.Sprintf("machines=%d", machines), func(b *testing.B) { run(b, machines) })
-	}
-}
-
 // BenchmarkTakeAssignments is an owner that is given work for all its slots at once.
 func BenchmarkTakeAssignments(b *testing.B) {
-	bySize(b, func(b *testing.B, machines int) {
+	sizebench.Run(b, func(b *testing.B, machines int) {
 		for b.Loop() {
 			b.StopTimer()
 			x := newLargePartition(b, machines, 8192, 16)
@@ -129,7 +120,7 @@
 
 // BenchmarkFirstCommits is all commits that place an owner's share of a full fleet.
 func BenchmarkFirstCommits(b *testing.B) {
-	bySize(b, func(b *testing.B, machines int) {
+	sizebench.Run(b, func(b *testing.B, machines int) {
 		changes := 0
 		for b.Loop() {
 			b.StopTimer()
@@ -145,7 +136,7 @@
 // BenchmarkOverloadedTick is a moment at an owner whose machines all have queues that have
 // waited past the local wait, in a fleet where nothing is underloaded.
 func BenchmarkOverloadedTick(b *testing.B) {
-	bySize(b, func(b *testing.B, machines int) {
+	sizebench.Run(b, func(b *testing.B, machines int) {
 		x := newLargePartition(b, machines, 8192, 16)
 		x.partition.cfg.MaxAhead = 2
 		x.fill(4)
@@ -165,7 +156,7 @@
 
 // BenchmarkChangedCommit is the next commit of an owner whose machines have all changed.
 func BenchmarkChangedCommit(b *testing.B) {
-	bySize(b, func(b *testing.B, machines int) {
+	sizebench.Run(b, func(b *testing.B, machines int) {
 		x := newLargePartition(b, machines, 8192, 16)
 		x.fill(0)
 		x.commitAll()
@@ -185,7 +176,7 @@
 
 // BenchmarkFirstUpdate is an owner's first update in a view, as it goes to the leader.
 func BenchmarkFirstUpdate(b *testing.B) {
-	bySize(b, func(b *testing.B, machines int) {
+	sizebench.Run(b, func(b *testing.B, machines int) {
 		x := newLargePartition(b, machines, 8192, 16)
 		x.fill(2)
 		x.commitAll()
@@ -205,7 +196,7 @@
 
 // BenchmarkLoadRecords is an owner that reads the records of its share at the start of a view.
 func BenchmarkLoadRecords(b *testing.B) {
-	bySize(b, func(b *testing.B, machines int) {
+	sizebench.Run(b, func(b *testing.B, machines int) {
 		x := newLargePartition(b, machines, 8192, 16)
 		x.fill(0)
 		x.commitAll()
--- a/scheduler/scale_test.go
+++ b/scheduler/scale_test.go
@@ -5,18 +5,15 @@
 	"testing"
 	"time"
 
+	"junipershelf/internal/sizebench"
 	"junipershelf/job"
 	"junipershelf/partition"
 	"junipershelf/protocol"
 )
 
-// fleetSizes are the sizes at which costs are measured: the deployments so far, the largest
-// that is served, and half as many again.
-var fleetSizes = []int{600, 1200, 4000, 6000}
-
 const (
-	slotsPerMachine = 8
-	ownersOfFleet   = 3
+	slotsPerMachine = sizebench.SlotsPerMachine
+	ownersOfFleet   = sizebench.Owners
 	// machinesPerJob is the density of live jobs in the densest deployment.
 	machinesPerJob = 3
 )
@@ -82,16 +79,10 @@
 	}
 }
 
-func bySize(b *testing.B, run func(b *testing.B, machines int)) {
-	for _, machines := range fleetSizes {
-		b.Run(fmt.Sprintf("machines=%d", machines), func(b *testing.B) { run(b, machines) })
-	}
-}
-
 // BenchmarkSteadyCycle is a cycle of a full fleet of which a twelfth has changed, as in the
 // 400 ms between two calls of each owner, with ten waiting tasks to a machine.
 func BenchmarkSteadyCycle(b *testing.B) {
-	bySize(b, func(b *testing.B, machines int) {
+	sizebench.Run(b, func(b *testing.B, machines int) {
 		f := newLargeFleet(machines)
 		f.showAll(machines, true)
 		b.ReportAllocs()
@@ -114,7 +105,7 @@
 
 // BenchmarkFirstCycle is the cycle that fills an empty fleet, and the owners' next calls.
 func BenchmarkFirstCycle(b *testing.B) {
-	bySize(b, func(b *testing.B, machines int) {
+	sizebench.Run(b, func(b *testing.B, machines int) {
 		b.ReportAllocs()
 		for b.Loop() {
 			b.StopTimer()
@@ -129,7 +120,7 @@
 
 // BenchmarkThirdLost is the loss of a third of a fleet and its return.
 func BenchmarkThirdLost(b *testing.B) {
-	bySize(b, func(b *testing.B, machines int) {
+	sizebench.Run(b, func(b *testing.B, machines int) {
 		f := newLargeFleet(machines)
 		f.showAll(machines, true)
 		b.ReportAllocs()
