--- a/sizing/check.go
+++ b/sizing/check.go
@@ -53,9 +53,12 @@
 	rentShare      = 0.7
 	// requestsPerNode is what a node calls beside commits: leases, the view, watches, polls.
 	requestsPerNode = 12.0
+	// What a leader's memory was seen to hold at its peak, after a change of leader in a storm.
+	peakProcessBytes = 40 * megabyte
+	peakMachineBytes = 17 << 10
 	// cpuPerNode and cpuPerMachine are of a core, on the leader, measured; see docs/scale.md.
 	cpuPerNode    = 0.02
-	cpuPerMachine = 0.00008
+	cpuPerMachine = 0.00012
 )
 
 // Check lists the settings that cannot serve a fleet.
@@ -75,7 +78,7 @@
 	machines := float64(fleet.Machines)
 	why := fmt.Sprintf("for %d machines of %d tasks", fleet.Machines, fleet.TasksPerMachine)
 	others := float64(max(facts.Nodes-1, 1)) // that serve while one is away
-	need("facts.resources.mem_mb", facts.Resources.MemMB, math.Ceil((processBytes+machines*machineBytes/machineShare)/megabyte), why, false)
+	need("facts.resources.mem_mb", facts.Resources.MemMB, math.Ceil((peakProcessBytes+machines*peakMachineBytes)/megabyte), why, false)
 	answering := machines / others / facts.Workers.ReportS * answerSeconds
 	need("facts.resources.max_sockets", float64(facts.Resources.MaxSockets), math.Ceil(answering/apiSocketShare), why+" that report to one controller fewer", false)
 	need("facts.resources.cpu", facts.Resources.CPU, cpuPerNode+machines*cpuPerMachine, why, false)
