--- a/controller/versions_test.go
+++ b/controller/versions_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"junipershelf/membership"
 )
 
 // mixedWorld is a deployment with limits to come, in which some nodes still run the
@@ -164,3 +166,40 @@
 	d.store.Outage(nil)
 	time.Sleep(15 * time.Second)
 }
+
+// A fleet grows to many times its size beside the version in production, without a stop: each
+// bucket gets the records that it needs, old and new owners read each other's as partitions
+// change hands, and no rule is broken.
+func TestRecordsGrowBesideTheVersionInProduction(t *testing.T) {
+	w := fewer
+	w.facts = strings.Replace(fewer.facts, "value_kb = 8.0", "value_kb = 2.0", 1)
+	w.newFacts, w.old = w.facts, []string{"n1"}
+	playIn(t, w, func(t *testing.T, d *day) {
+		d.cloud.RunFor = func(string) time.Duration { return 4 * time.Minute }
+		buckets := membership.BucketsFor(20, 3)
+		small := spec("wk-99", "red", 20)
+		small["expected_s"] = 240.0
+		d.submit(small)
+		time.Sleep(25 * time.Second)
+		before := len(d.store.Keys("shards/"))
+		for i := range 90 {
+			m := spec(fmt.Sprintf("wk-%d", i), []string{"red", "blue"}[i%2], 11)
+			m["expected_s"] = 240.0
+			d.submit(m)
+		}
+		d.busyWithin("once it has grown", 900, 90*time.Second)
+		after := len(d.store.Keys("shards/"))
+		if before > buckets || after < buckets+buckets/4 {
+			t.Errorf("%d buckets: %d records before the fleet grew, %d after", buckets, before, after)
+		}
+		for _, n := range d.nodes {
+			d.crash(n, 4*time.Second)
+			time.Sleep(8 * time.Second)
+			d.busy("after the end of "+n, 850)
+		}
+		d.upgrade("n1", 4*time.Second)
+		time.Sleep(8 * time.Second)
+		d.busy("after the upgrade", 850)
+		d.judge(nil)
+	})
+}
