--- a/review/standins/deployment.go
+++ b/review/standins/deployment.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -55,15 +56,25 @@
 	trouble  bool // the case brings about its trouble
 }
 
+// The ports for the controllers and the store are below those that outgoing connections usually get, so
+// that none is taken before its listener starts.
+const (
+	firstPort    = 20000
+	portCount    = 10000
+	portAttempts = 100
+)
+
 // freeAddr returns a loopback address that is free now.
-func freeAddr(ctx context.Context) (string, error) {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+func freeAddr(ctx context.Context) (addr string, err error) {
+	for range portAttempts {
+		var config net.ListenConfig
+		var listener net.Listener
+		listener, err = config.Listen(ctx, "tcp4", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
+		if err == nil {
+			return listener.Addr().String(), listener.Close()
+		}
 	}
-	addr := listener.Addr().String()
-	return addr, listener.Close()
+	return "", err
 }
 
 // deploy starts the stand-ins and the controllers of a site.
--- a/review/standins/worker.go
+++ b/review/standins/worker.go
@@ -26,6 +26,10 @@
 	failsAfter      = 500 * time.Millisecond // how long a task runs on a machine that fails all tasks
 )
 
+// endpoint is where workers would take direct commands. The controllers send none, and nothing listens
+// there.
+const endpoint = "127.0.0.1:1"
+
 // worker is the stand-in of a machine's worker.
 type worker struct {
 	platform *platform
@@ -78,7 +82,7 @@
 		status = "running"
 	}
 	return map[string]any{
-		"uid": w.id, "endpoint": w.id + ":9000", "flavor": w.kind.flavor, "yard": w.kind.zone, "borrowed": w.kind.spot,
+		"uid": w.id, "endpoint": endpoint, "flavor": w.kind.flavor, "yard": w.kind.zone, "borrowed": w.kind.spot,
 		"status": status, "held_s": time.Since(w.rentedAt).Seconds(),
 	}
 }
@@ -228,7 +232,7 @@
 		pieces = append(pieces, piece)
 	}
 	return map[string]any{
-		"host": w.id, "endpoint": w.id + ":9000", "flavor": w.kind.flavor, "yard": w.kind.zone, "borrowed": w.kind.spot,
+		"host": w.id, "endpoint": endpoint, "flavor": w.kind.flavor, "yard": w.kind.zone, "borrowed": w.kind.spot,
 		"shift": w.shift, "tick": w.tick, "baton": w.baton, "warning_s": nil, "pieces": pieces,
 	}, w.shift
 }
