--- a/review/standins/platform.go
+++ b/review/standins/platform.go
@@ -135,6 +135,7 @@
 		wanted := offer{request.Flavor, request.Yard, request.Spot}
 		count := min(request.HowMany, p.capacity[wanted])
 		if count <= 0 {
+			p.record.printf("cloud: %s gets no machine of %+v: no capacity", request.Hire, wanted)
 			reply(w, http.StatusServiceUnavailable, map[string]any{"error": "no capacity"})
 			return
 		}
