Log how old an owner's evidence is and which peers know a cancellation

At debug, "commands sent" now has the age of the ownership evidence and of the job cache, and "cancellation confirmed" the peers that have not acknowledged the cancellation.

Ruled out: a node that was told and answered from an old state, and the owners of the next view.

--- a/controller/cancellation.go
+++ b/controller/cancellation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 
 	"junipershelf/api"
@@ -24,6 +25,8 @@
 	store          userStoreClient
 	terminalStates *terminalStateRecorder
 	replicator     *cancellationReplicator
+	tracker        *peerTracker
+	log            *slog.Logger
 }
 
 // Cancel cancels a job unless it has already ended, and answers with its terminal status.
@@ -51,7 +54,9 @@
 		if err != nil {
 			return unavailable
 		}
+		logged := h.terminalStates.cancellations.end()
 		h.replicator.replicate(ctx)
+		h.log.Debug("cancellation confirmed", "job", uid, "unacknowledged", h.tracker.unacknowledged(logged))
 		return cancelResponse(uid, job.StatusCancelled)
 	}
 	return unavailable
--- a/controller/cancellationlog.go
+++ b/controller/cancellationlog.go
@@ -63,6 +63,13 @@
 	l.entries = append(l.entries, peer.Cancellation{UID: uid, Done: completedTasks})
 }
 
+// end returns the position after the last entry.
+func (l *cancellationLog) end() logPosition {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return logPosition{id: l.id, next: l.first + uint64(len(l.entries))}
+}
+
 // dropOldest drops the oldest 1/dropDivisor of the log. The caller holds the lock.
 func (l *cancellationLog) dropOldest() {
 	l.onDrop()
--- a/controller/heartbeatresponder.go
+++ b/controller/heartbeatresponder.go
@@ -124,7 +124,8 @@
 	p.RecordReply(heartbeat.Machine)
 	commands := p.Commands(time.Now(), heartbeat.Machine, heartbeat.AgentEpoch, heartbeat.Sequence)
 	if commands != nil && h.log.Enabled(ctx, slog.LevelDebug) {
-		h.log.Debug("commands sent", "machine", heartbeat.Machine, "sequence", heartbeat.Sequence, "commands", commandText(commands))
+		h.log.Debug("commands sent", "machine", heartbeat.Machine, "sequence", heartbeat.Sequence, "commands", commandText(commands),
+			"evidence_ms", h.membership.EvidenceAge().Milliseconds(), "cache_ms", time.Since(h.state.jobs.SyncedAt()).Milliseconds())
 	}
 	return heartbeatReply(p.View(), commands)
 }
--- a/controller/peertracker.go
+++ b/controller/peertracker.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -63,6 +64,20 @@
 	return state.progress, true
 }
 
+// unacknowledged returns the sorted names of the peers that have not acknowledged this node's
+// cancellation log up to a position.
+func (t *peerTracker) unacknowledged(position logPosition) (names []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, state := range t.peers {
+		if !state.progress.acknowledgedUpTo(position) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // reachable reports whether a ping or reply of a peer arrived within peerTimeout.
 func (t *peerTracker) reachable(node string) bool {
 	t.mu.Lock()
--- a/controller/replicationprogress.go
+++ b/controller/replicationprogress.go
@@ -59,3 +59,8 @@
 		r.gap = logGap{id: ping.LogID, end: ping.LogEnd, seenAt: now}
 	}
 }
+
+// acknowledgedUpTo reports whether the peer knows this node's log up to a position.
+func (r *replicationProgress) acknowledgedUpTo(position logPosition) bool {
+	return r.acknowledged.id == position.id && r.acknowledged.next >= position.next
+}
--- a/controller/userservice.go
+++ b/controller/userservice.go
@@ -52,6 +52,8 @@
 		store:          store,
 		terminalStates: peering.terminalStates,
 		replicator:     peering.replicator,
+		tracker:        peering.tracker,
+		log:            shared.log,
 	}
 	return &userComponents{
 		service: &userService{
--- a/membership/ownershiplease.go
+++ b/membership/ownershiplease.go
@@ -59,6 +59,14 @@
 	return current && !deposed && member && !expired
 }
 
+// EvidenceAge returns the time since the ownership lease's evidence was valid: when this node last
+// knew both that its view was the latest and all cancellations.
+func (m *Membership) EvidenceAge() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.evidence.validAsOf())
+}
+
 // ObserveView records that a view with this number exists or may exist, according to a peer or a
 // refused transaction. This node stops acting in earlier views immediately, without waiting for
 // its lease to expire, and reads the current view.
