Tell users of a cancellation only once no owner can start its tasks

What callers saw: a user was told "cancelled", and tasks of the job were started up to 1.5 s later, by a leader that had been cut off from the key-value store and its peers.

Cause: the confirming node waited 150 ms for peers that it could reach; an owner that could not be told kept its right to start for up to the ownership lease and stale_s, 6 s each. Nothing connected the two. A node that read the terminal state from the store, for a status read, a repeated submission or a repeated cancellation, did not wait at all.

Each reply that calls a job cancelled waits until every other node has acknowledged this node's log entry, or a start lease has expired since the entry was logged, or the node has been out of the latest view for that long (invariant 12 in docs/design.md says why that suffices). If it takes longer than users wait, the reply is 503. Job watches last 0.75 s instead of 2 s, so that the store renews the start lease in time.

The check of TestNoStartAfterConfirmedCancellation moved to a shared function and is made by two more scenarios.

--- a/controller/cancellation.go
+++ b/controller/cancellation.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"log/slog"
+	"errors"
 	"net/http"
+	"time"
 
 	"junipershelf/api"
 	"junipershelf/job"
@@ -16,6 +17,15 @@
 	maxCancelAttempts = 6
 	// cancelTimeout limits the total duration of all attempts at a cancellation.
 	cancelTimeout = 2 * statestore.CallTimeout
+	// cancelReplyTimeout is the time within which a cancellation or a submission is answered, at the
+	// latest by asking the user to retry. Users wait 5 s for the reply.
+	cancelReplyTimeout = 4500 * time.Millisecond
+)
+
+// Errors of a cancellation.
+var (
+	errJobUnknown     = errors.New("job was never submitted")
+	errRecordChanging = errors.New("job record changed at each attempt")
 )
 
 // cancellationHandler cancels jobs.
@@ -24,42 +34,54 @@
 	jobs           *jobReader
 	store          userStoreClient
 	terminalStates *terminalStateRecorder
-	replicator     *cancellationReplicator
-	tracker        *peerTracker
-	log            *slog.Logger
+	confirmer      *cancellationConfirmer
 }
 
-// Cancel cancels a job unless it has already ended, and answers with its terminal status.
+// Cancel cancels a job unless it has already ended, and answers with its terminal status. The user is
+// told that the job is cancelled only once no node will start a task of it any more.
 func (h *cancellationHandler) Cancel(ctx context.Context, uid string) api.Response {
+	deadline := time.Now().Add(cancelReplyTimeout)
 	if !h.rateLimiter.allow(callCancel) {
 		return unavailable
 	}
+	status, err := h.cancel(ctx, uid)
+	switch {
+	case errors.Is(err, errJobUnknown):
+		return noSuchJob
+	case err != nil:
+		return unavailable
+	case status == job.StatusCancelled && !h.confirmer.await(ctx, uid, deadline):
+		return unavailable
+	}
+	return cancelResponse(uid, status)
+}
+
+// cancel cancels a job unless it has already ended, and returns its terminal status. The error wraps
+// errJobUnknown if the job was never submitted; any other error is temporary.
+func (h *cancellationHandler) cancel(ctx context.Context, uid string) (status string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
 	for range maxCancelAttempts {
 		state, err := h.jobs.lookup(ctx, uid)
 		if err != nil {
-			return unavailable
+			return "", err
 		}
 		if state.phase == jobUnknown {
-			return noSuchJob
+			return "", errJobUnknown
 		}
 		if state.phase == jobEnded {
-			return cancelResponse(uid, state.terminal.Status)
+			return state.terminal.Status, nil
 		}
 		err = h.cancelLive(ctx, uid, state)
 		if isConflict(err) {
 			continue // the record has changed since it was read
 		}
 		if err != nil {
-			return unavailable
+			return "", err
 		}
-		logged := h.terminalStates.cancellations.end()
-		h.replicator.replicate(ctx)
-		h.log.Debug("cancellation confirmed", "job", uid, "unacknowledged", h.tracker.unacknowledged(logged))
-		return cancelResponse(uid, job.StatusCancelled)
+		return job.StatusCancelled, nil
 	}
-	return unavailable
+	return "", errRecordChanging
 }
 
 // cancelLive replaces a live job's record with a terminal state. It returns a
--- a/controller/cancellationfaults_test.go
+++ b/controller/cancellationfaults_test.go
@@ -56,10 +56,8 @@
 			if cluster.cloud.Starts < 100 {
 				t.Errorf("%d starts, want at least 100 for a meaningful test", cluster.cloud.Starts)
 			}
-			if n := cluster.cloud.StartCommandsAfterCancel; n > 0 {
-				t.Errorf("%d start commands were sent after the confirmation", n)
-			}
 		})
+		cluster.checkNoStartsAfterCancellation()
 		cluster.checkInvariants(nil)
 	})
 }
--- a/controller/cancellationlog.go
+++ b/controller/cancellationlog.go
@@ -52,21 +52,15 @@
 	return &cancellationLog{id: rand.Uint64() | 1, limits: limits, onDrop: onDrop}
 }
 
-// append adds a cancelled job with its number of completed tasks. If the log is full, the oldest
-// entries are dropped first.
-func (l *cancellationLog) append(uid string, completedTasks int) {
+// append adds a cancelled job with its number of completed tasks, and returns the position after its
+// entry. If the log is full, the oldest entries are dropped first.
+func (l *cancellationLog) append(uid string, completedTasks int) logPosition {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.entries) >= l.limits.entries {
 		l.dropOldest()
 	}
 	l.entries = append(l.entries, peer.Cancellation{UID: uid, Done: completedTasks})
-}
-
-// end returns the position after the last entry.
-func (l *cancellationLog) end() logPosition {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	return logPosition{id: l.id, next: l.first + uint64(len(l.entries))}
 }
 
--- a/controller/cancellationreplicator.go
+++ b/controller/cancellationreplicator.go
@@ -5,12 +5,13 @@
 	"time"
 )
 
-// replicationTimeout is the maximum time that a cancellation waits for its replication to the peers.
-const replicationTimeout = 150 * time.Millisecond
+// replicationTimeout is the maximum time that a cancellation waits for its replication to the peers. A
+// peer that takes longer to reply acknowledges the cancellation by a later ping.
+const replicationTimeout = 500 * time.Millisecond
 
-// cancellationReplicator replicates cancellations to the peers before the users are answered, so
-// that no peer starts a task of a job after its cancellation was confirmed. Pings carry the
-// cancellations. Requests that arrive during a round of pings share the next round.
+// cancellationReplicator replicates cancellations to the reachable peers at once, since users wait
+// until all nodes have acknowledged them (see cancellationConfirmer). Pings carry the cancellations.
+// Requests that arrive during a round of pings share the next round.
 type cancellationReplicator struct {
 	pingPeers func(context.Context) // pings the reachable peers and waits for their replies
 	requests  chan replicationRequest
@@ -28,8 +29,7 @@
 }
 
 // replicate waits until the reachable peers have been sent all cancellations that this node has
-// logged, for at most replicationTimeout. A peer that is not reached by then loses its lease before
-// the cancellation must have taken effect.
+// logged, for at most replicationTimeout.
 func (r *cancellationReplicator) replicate(ctx context.Context) {
 	request := make(replicationRequest)
 	select {
--- a/controller/clusterchecks_test.go
+++ b/controller/clusterchecks_test.go
@@ -31,6 +31,18 @@
 	}
 }
 
+// checkNoStartsAfterCancellation checks that no start command was sent after a user had been told of the cancellation
+// of its job. It is for scenarios that block no link of an agent: a start command that such a link holds
+// may arrive later than that, although it was sent before.
+func (c *simulatedCluster) checkNoStartsAfterCancellation() {
+	c.t.Helper()
+	c.cloud.WithLock(func() {
+		if n := c.cloud.StartCommandsAfterCancel; n > 0 {
+			c.t.Errorf("%d start commands were sent after users had been told that the job is cancelled", n)
+		}
+	})
+}
+
 // awaitAllDone waits until all jobs are done, each within the timeout, and checks the invariants.
 func (c *simulatedCluster) awaitAllDone(jobs map[string]int, timeout time.Duration) {
 	c.t.Helper()
--- a/controller/concurrentfaults_leaders_test.go
+++ b/controller/concurrentfaults_leaders_test.go
@@ -22,6 +22,7 @@
 		clients.pollAllNodes("wk-2", nil)
 		time.Sleep(4 * time.Second)
 	}
+	cluster.checkNoStartsAfterCancellation()
 	cluster.net.SetBlocked(nil)
 	return map[string]int{"wk-1": 16, "wk-2": 12}
 }
@@ -96,6 +97,7 @@
 		all.Wait()
 		time.Sleep(6 * time.Second)
 	}
+	cluster.checkNoStartsAfterCancellation()
 	return jobs
 }
 
--- a/controller/heartbeatresponder.go
+++ b/controller/heartbeatresponder.go
@@ -26,7 +26,7 @@
 )
 
 // heartbeatResponder answers the heartbeats of the machines that this node owns. Start commands that
-// are stale or unsafe are prevented in three places:
+// are stale or unsafe are prevented in four places:
 //
 //   - mayAnswer: this node owns the partition and holds the ownership lease of its view. This is
 //     checked when the heartbeat arrives, and again just before the reply, since the reply may have
@@ -34,6 +34,8 @@
 //   - partition.Commands adds a start to the reply only once its placement is committed, so that
 //     any later owner of the machine sees it, and only while the job cache is recent enough to show
 //     that the job was not cancelled.
+//   - commands withholds starts unless this node holds the start lease: only then does it know all
+//     cancellations of which a user may have been told.
 //   - The reply's fencing token is the view number: an agent ignores commands with a token lower
 //     than the highest one that it has seen.
 //
@@ -122,7 +124,7 @@
 // lock.
 func (h *heartbeatResponder) reply(ctx context.Context, p *partition.Partition, heartbeat *protocol.Heartbeat) api.Response {
 	p.RecordReply(heartbeat.Machine)
-	commands := p.Commands(time.Now(), heartbeat.Machine, heartbeat.AgentEpoch, heartbeat.Sequence)
+	commands := h.commands(p, heartbeat)
 	if commands != nil && h.log.Enabled(ctx, slog.LevelDebug) {
 		h.log.Debug("commands sent", "machine", heartbeat.Machine, "sequence", heartbeat.Sequence, "commands", commandText(commands),
 			"evidence_ms", h.membership.EvidenceAge().Milliseconds(), "cache_ms", time.Since(h.state.jobs.SyncedAt()).Milliseconds())
@@ -130,6 +132,18 @@
 	return heartbeatReply(p.View(), commands)
 }
 
+// commands returns the commands for the reply to a heartbeat. Starts are withheld while this node does
+// not hold the start lease. The caller holds the lock.
+func (h *heartbeatResponder) commands(p *partition.Partition, heartbeat *protocol.Heartbeat) []protocol.Command {
+	now := time.Now()
+	if h.membership.HoldsStartLease(p.View()) {
+		return p.Commands(now, heartbeat.Machine, heartbeat.AgentEpoch, heartbeat.Sequence)
+	}
+	commands, withheld := p.CommandsWithoutStarts(now, heartbeat.Machine, heartbeat.AgentEpoch, heartbeat.Sequence)
+	h.metrics.recordStartsWithheld(withheld)
+	return commands
+}
+
 // awaitPartition waits for up to partitionLoadTimeout while a view's partition is being loaded. It
 // acquires the lock.
 func (h *heartbeatResponder) awaitPartition(ctx context.Context, view uint64) {
--- a/controller/jobwatcher.go
+++ b/controller/jobwatcher.go
@@ -15,7 +15,9 @@
 )
 
 const (
-	jobWatchTimeout    = 2 * time.Second
+	// jobWatchTimeout is how long a watch waits for changes. While there are none, the job cache is known
+	// to be current as of the last watch but one, and the start lease depends on that time.
+	jobWatchTimeout    = 750 * time.Millisecond
 	jobListRetryDelay  = 300 * time.Millisecond
 	jobWatchRetryDelay = 250 * time.Millisecond
 	// jobWatchBatchDelay is the delay between watches. It batches changes, because one reply with many
--- a/controller/metrics.go
+++ b/controller/metrics.go
@@ -21,9 +21,15 @@
 	mailboxReplies int
 	heartbeats     int
 	repliesHeld    int
+	startsWithheld int
+
+	cancellations        int
+	cancellationTimeouts int
 
 	longestCycle  time.Duration
 	longestCommit time.Duration
+
+	longestCancellation time.Duration
 }
 
 // recordCycle counts a scheduling cycle.
@@ -59,6 +65,27 @@
 // recordReplyHeld counts a heartbeat whose reply was held because a start command was expected.
 func (m *nodeMetrics) recordReplyHeld() { m.update(func(c *workCounts) { c.repliesHeld++ }) }
 
+// recordStartsWithheld counts starts that a reply did not carry because the node did not hold the start
+// lease. A start is counted for each such reply.
+func (m *nodeMetrics) recordStartsWithheld(starts int) {
+	m.update(func(c *workCounts) { c.startsWithheld += starts })
+}
+
+// recordCancellation counts a reply to a user that waited for a cancellation to take effect on all
+// owners.
+func (m *nodeMetrics) recordCancellation(waited time.Duration) {
+	m.update(func(c *workCounts) {
+		c.cancellations++
+		c.longestCancellation = max(c.longestCancellation, waited)
+	})
+}
+
+// recordCancellationTimeout counts such a reply that asks the user to retry, since the cancellation did
+// not take effect in time.
+func (m *nodeMetrics) recordCancellationTimeout() {
+	m.update(func(c *workCounts) { c.cancellationTimeouts++ })
+}
+
 // snapshotAndReset returns the counts and resets them.
 func (m *nodeMetrics) snapshotAndReset() workCounts {
 	m.mu.Lock()
--- a/controller/peertracker.go
+++ b/controller/peertracker.go
@@ -78,6 +78,13 @@
 	return names
 }
 
+// isPeer reports whether a node is one of the peers.
+func (t *peerTracker) isPeer(node string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.peers[node] != nil
+}
+
 // reachable reports whether a ping or reply of a peer arrived within peerTimeout.
 func (t *peerTracker) reachable(node string) bool {
 	t.mu.Lock()
--- a/controller/status.go
+++ b/controller/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"junipershelf/api"
 	"junipershelf/job"
@@ -16,15 +17,21 @@
 	confirmer   *statusConfirmer
 	rateLimiter *userRateLimiter
 	state       *nodeState
+	cancelled   *cancellationConfirmer
 }
 
+// statusReplyTimeout is the time within which a status read of a cancelled job is answered, at the latest by
+// asking the user to retry. Users wait 2 s for the reply.
+const statusReplyTimeout = 1500 * time.Millisecond
+
 // Status answers a status read. A job that has ended is answered from memory, if it is cached. A
 // live job is answered from the job cache, once a transaction sent after the read arrived has
 // confirmed that the cache is current. Otherwise the store is read.
 func (h *statusHandler) Status(ctx context.Context, uid string) api.Response {
+	deadline := time.Now().Add(statusReplyTimeout)
 	terminal, ended := h.jobs.cachedTerminalState(uid)
 	if terminal != nil {
-		return terminalStatus(uid, *terminal)
+		return h.endedStatus(ctx, uid, *terminal, deadline)
 	}
 	if !ended {
 		if response, ok := h.confirmedStatus(ctx, uid); ok {
@@ -34,7 +41,7 @@
 	if !h.rateLimiter.allow(callRead) {
 		return unavailable
 	}
-	return h.knownStatusOr(ctx, uid, noSuchJob)
+	return h.knownStatusOr(ctx, uid, noSuchJob, deadline)
 }
 
 // confirmedStatus answers a status read from the job cache once the cache is confirmed to be current.
@@ -57,8 +64,9 @@
 }
 
 // knownStatusOr answers with a job's current status, or with the given response if the job does not
-// exist. An accepted job keeps its status even if the same submission would now be refused.
-func (h *statusHandler) knownStatusOr(ctx context.Context, uid string, unknown api.Response) api.Response {
+// exist. An accepted job keeps its status even if the same submission would now be refused. A cancelled
+// job is reported by the deadline or not at all, see endedStatus.
+func (h *statusHandler) knownStatusOr(ctx context.Context, uid string, unknown api.Response, deadline time.Time) api.Response {
 	state, err := h.jobs.lookup(ctx, uid)
 	if err != nil {
 		return unavailable
@@ -67,12 +75,21 @@
 	case jobLive:
 		return h.liveStatus(uid, completedTasks(state.record))
 	case jobEnded:
-		return terminalStatus(uid, state.terminal)
+		return h.endedStatus(ctx, uid, state.terminal, deadline)
 	case jobUnknown:
 	}
 	return unknown
 }
 
+// endedStatus returns the status of a job that has ended. A job is called cancelled only once no node
+// will start a task of it any more; until then, at the latest until the deadline, the reply waits.
+func (h *statusHandler) endedStatus(ctx context.Context, uid string, terminal job.TerminalState, deadline time.Time) api.Response {
+	if terminal.Status == job.StatusCancelled && !h.cancelled.await(ctx, uid, deadline) {
+		return unavailable
+	}
+	return terminalStatus(uid, terminal)
+}
+
 // completedTasks returns the number of completed tasks in a job's record.
 func completedTasks(record job.Record) int {
 	completed, err := job.ParseRanges(record.Done)
--- a/controller/submission.go
+++ b/controller/submission.go
@@ -31,17 +31,18 @@
 
 // Submit accepts a job once its record has been written to the key-value store.
 func (h *submissionHandler) Submit(ctx context.Context, spec *protocol.JobSpec) api.Response {
+	receivedAt := time.Now()
+	deadline := receivedAt.Add(cancelReplyTimeout)
 	infeasible := h.feasibility.check(spec)
 	if !h.rateLimiter.allow(callSubmit) {
 		return unavailable
 	}
 	if infeasible != nil {
-		return h.statuses.knownStatusOr(ctx, spec.UID, infeasibleResponse(infeasible))
+		return h.statuses.knownStatusOr(ctx, spec.UID, infeasibleResponse(infeasible), deadline)
 	}
 	if terminal, _ := h.jobs.cachedTerminalState(spec.UID); terminal != nil {
-		return terminalStatus(spec.UID, *terminal)
+		return h.statuses.endedStatus(ctx, spec.UID, *terminal, deadline)
 	}
-	receivedAt := time.Now()
 	record := job.Record{Spec: *spec, SubmittedMS: receivedAt.UnixMilli()}
 	transaction, err := submissionTransaction(record)
 	if err != nil {
@@ -50,11 +51,11 @@
 	if len(transaction.Changes[0].Data)+recordGrowthBytes > h.store.client.ValueByteLimit() {
 		h.limitCounts.record(limits.JobDescription)
 		// The job may already have been accepted under larger limits.
-		return h.statuses.knownStatusOr(ctx, spec.UID, api.ErrorResponse(http.StatusUnprocessableEntity, "the job's description is too large to keep"))
+		return h.statuses.knownStatusOr(ctx, spec.UID, api.ErrorResponse(http.StatusUnprocessableEntity, "the job's description is too large to keep"), deadline)
 	}
 	revision, err := h.store.commit(ctx, transaction)
 	if isConflict(err) {
-		return h.statuses.knownStatusOr(ctx, spec.UID, unavailable)
+		return h.statuses.knownStatusOr(ctx, spec.UID, unavailable, deadline)
 	}
 	if err != nil {
 		return unavailable
--- a/controller/terminalstaterecorder.go
+++ b/controller/terminalstaterecorder.go
@@ -26,9 +26,11 @@
 	if _, known := r.state.terminalStates.get(uid); known {
 		return
 	}
-	r.state.terminalStates.put(uid, terminal)
 	r.state.jobs.Remove(uid, time.Now())
-	if terminal.Status == job.StatusCancelled {
-		r.cancellations.append(uid, terminal.Done)
+	if terminal.Status != job.StatusCancelled {
+		r.state.terminalStates.put(uid, terminal)
+		return
 	}
+	position := r.cancellations.append(uid, terminal.Done)
+	r.state.terminalStates.putCancelled(uid, terminal, loggedCancellation{position: position, loggedAt: time.Now()})
 }
--- a/controller/userservice.go
+++ b/controller/userservice.go
@@ -35,7 +35,16 @@
 	jobs := &jobReader{store: store, state: shared.state, terminalStates: peering.terminalStates, failures: shared.failures}
 	rateLimiter := newUserRateLimiter(shared.settings.Facts.Store)
 	confirmer := newStatusConfirmer(shared.store, jobs.cachedRevision, shared.nodeLimits.StatusReads, func() { shared.limitCounts.record(limits.StatusReads) })
-	statuses := &statusHandler{jobs: jobs, confirmer: confirmer, rateLimiter: rateLimiter, state: shared.state}
+	confirmedCancellations := &cancellationConfirmer{
+		nodeName:   shared.settings.NodeName,
+		state:      shared.state,
+		membership: shared.membership,
+		tracker:    peering.tracker,
+		replicator: peering.replicator,
+		metrics:    shared.metrics,
+		log:        shared.log,
+	}
+	statuses := &statusHandler{jobs: jobs, confirmer: confirmer, rateLimiter: rateLimiter, state: shared.state, cancelled: confirmedCancellations}
 	submissions := &submissionHandler{
 		feasibility: feasibilityCheck{teams: shared.teams, quotas: shared.settings.Facts.Teams, catalogue: shared.catalogue},
 		rateLimiter: rateLimiter,
@@ -51,9 +60,7 @@
 		jobs:           jobs,
 		store:          store,
 		terminalStates: peering.terminalStates,
-		replicator:     peering.replicator,
-		tracker:        peering.tracker,
-		log:            shared.log,
+		confirmer:      confirmedCancellations,
 	}
 	return &userComponents{
 		service: &userService{
--- a/membership/view.go
+++ b/membership/view.go
@@ -38,6 +38,11 @@
 // Contains reports whether m, including its incarnation, is a member of the view.
 func (v View) Contains(m Member) bool { return slices.Contains(v.Members, m) }
 
+// ContainsNode reports whether any run of a node is a member of the view.
+func (v View) ContainsNode(node string) bool {
+	return slices.ContainsFunc(v.Members, func(m Member) bool { return m.Node == node })
+}
+
 // nodeNames returns the names of the members, the leader's first.
 func (v View) nodeNames() []string {
 	names := make([]string, len(v.Members))
--- a/partition/commands.go
+++ b/partition/commands.go
@@ -16,12 +16,13 @@
 
 // reply returns the commands for the reply to a machine's last heartbeat, and records starts as sent.
 func (c *commands) reply(now time.Time, m *Machine) []protocol.Command {
-	out := m.unknownTaskCommands()
-	out = append(out, c.stopCommands(m, now)...)
-	if !c.cacheFresh(now) || m.hasUnaccountedTasks() || m.replies.tooManyUnacknowledged() || m.mustMoveTasks() {
-		return out
-	}
-	return append(out, c.startCommands(m, now)...)
+	out := c.withoutStarts(now, m)
+	return append(out, c.startCommands(c.startable(m, now), m, now)...)
+}
+
+// withoutStarts returns the commands for the reply to a machine's last heartbeat that start nothing.
+func (c *commands) withoutStarts(now time.Time, m *Machine) []protocol.Command {
+	return append(m.unknownTaskCommands(), c.stopCommands(m, now)...)
 }
 
 // unknownTaskCommands returns the commands to forget or stop the tasks that a machine reports without
@@ -66,9 +67,11 @@
 	return c.jobs.Get(pl.Task.Job) == nil && (pl.start == startRestored || c.cacheFresh(now) || c.jobs.HasEnded(pl.Task.Job))
 }
 
-// startCommands returns the commands that start the committed placements that fit, in order, and
-// records them as sent.
-func (c *commands) startCommands(m *Machine, now time.Time) (out []protocol.Command) {
+// startable returns the committed placements that fit and may be started now, in order.
+func (c *commands) startable(m *Machine, now time.Time) (out []*Placement) {
+	if !c.cacheFresh(now) || m.hasUnaccountedTasks() || m.replies.tooManyUnacknowledged() || m.mustMoveTasks() {
+		return nil
+	}
 	free := m.freeResources()
 	for _, pl := range m.placements {
 		if !pl.isPending() {
@@ -78,6 +81,14 @@
 			break
 		}
 		free = free.Sub(pl.Resources)
+		out = append(out, pl)
+	}
+	return out
+}
+
+// startCommands returns the commands that start placements, and records them as sent.
+func (c *commands) startCommands(placements []*Placement, m *Machine, now time.Time) (out []protocol.Command) {
+	for _, pl := range placements {
 		pl.sendStart(m.sequence, now)
 		c.Counts.Started++
 		c.machines.markChanged(m)
--- a/partition/commands_test.go
+++ b/partition/commands_test.go
@@ -42,3 +42,24 @@
 	assertEqual(t, "commands", commandText(p.Commands(at(2), "a", 1, 2)), "kill wk-1/0;")
 	assertEqual(t, "commit", recordText(t, nextCommit(t, p, at(2))), "wk-1/0@a;")
 }
+
+// Without a start lease the reply carries all commands but the starts, which stay pending.
+func TestStartsAreWithheldWithoutStartLease(t *testing.T) {
+	p, jobs := newPartitionWithPlacement(t)
+	commands, withheld := p.CommandsWithoutStarts(at(1), "a", 1, 1)
+	if len(commands) != 0 || withheld != 1 {
+		t.Errorf("commands %q with %d starts withheld, want none with 1", commandText(commands), withheld)
+	}
+	if commands, withheld = p.CommandsWithoutStarts(at(1), "a", 1, 0); commands != nil || withheld != 0 {
+		t.Errorf("for an older heartbeat: commands %q with %d starts withheld, want none", commandText(commands), withheld)
+	}
+	p.HandleHeartbeat(at(2), heartbeat("a", 1, 2, 5))
+	assertEqual(t, "with the start lease", commandText(p.Commands(at(2), "a", 1, 2)), "start wk-1/0;")
+	jobs.Remove("wk-1", at(3))
+	p.HandleHeartbeat(at(3), heartbeat("a", 1, 3, 5, protocol.ReportedTask{Task: "wk-1/0", Attempt: attemptOf(p), Status: protocol.TaskFetching}))
+	commands, withheld = p.CommandsWithoutStarts(at(3), "a", 1, 3)
+	assertEqual(t, "of a cancelled job", commandText(commands), "kill wk-1/0;")
+	if withheld != 0 {
+		t.Errorf("%d starts withheld for a cancelled job, want none", withheld)
+	}
+}
--- a/partition/partition.go
+++ b/partition/partition.go
@@ -256,13 +256,34 @@
 
 // Commands returns the commands for the reply to the heartbeat with the given agent epoch and sequence
 // number, and records starts as sent. It returns none if that is not the machine's last heartbeat. The
-// caller must have checked that the owner's lease is valid.
+// caller must have checked that the owner's ownership lease and its start lease are valid.
 func (p *Partition) Commands(now time.Time, id string, agentEpoch, sequence uint64) []protocol.Command {
+	m := p.machineAt(id, agentEpoch, sequence)
+	if m == nil {
+		return nil
+	}
+	return p.commands.reply(now, m)
+}
+
+// CommandsWithoutStarts is Commands for an owner that does not hold its start lease. It reports the number
+// of starts that the reply does not carry for this reason; they stay pending.
+func (p *Partition) CommandsWithoutStarts(now time.Time, id string, agentEpoch, sequence uint64) (commands []protocol.Command, withheld int) {
+	m := p.machineAt(id, agentEpoch, sequence)
+	if m == nil {
+		return nil, 0
+	}
+	commands = p.commands.withoutStarts(now, m)
+	return commands, len(p.commands.startable(m, now))
+}
+
+// machineAt returns a machine if its last heartbeat has the given agent epoch and sequence number, and
+// nil otherwise: then a newer heartbeat has arrived, and its reply carries the commands.
+func (p *Partition) machineAt(id string, agentEpoch, sequence uint64) *Machine {
 	m := p.machines.get(id)
 	if m == nil || m.agentEpoch != agentEpoch || m.sequence != sequence {
-		return nil // a newer heartbeat has arrived, and its reply carries the commands
+		return nil
 	}
-	return p.commands.reply(now, m)
+	return m
 }
 
 // AwaitsCommit reports whether a task on a machine fits and waits only for its commit, so that
