Set no timer that is due at once, which crashes the race detector

Cause: in a testing/synctest bubble, a timer that is due when it is set, or already due when a goroutine selects on it, runs in that goroutine with the bubble's race context, which all goroutines share without a lock. The loops that begin with a wait of 0 do so, and, far more often, the emulator's agents: a start whose image is cached called time.AfterFunc(0).

Change: package internal/ctxtime has Sleep, which sets no timer for a duration of 0 (it stood twice, in controller and loadtest), and AfterFunc with a delay of at least a microsecond; the emulated store's watch sets a new timer in each round.

The constructor of the cancellation confirmer moves to its file.

--- a/controller/cancellation.go
+++ b/controller/cancellation.go
@@ -17,9 +17,9 @@
 	maxCancelAttempts = 6
 	// cancelTimeout limits the total duration of all attempts at a cancellation.
 	cancelTimeout = 2 * statestore.CallTimeout
-	// cancelReplyTimeout is the time within which a cancellation or a submission is answered, at the
-	// latest by asking the user to retry. Users wait 5 s for the reply.
-	cancelReplyTimeout = 4500 * time.Millisecond
+	// userReplyTimeout is the time within which a cancellation, or a submission of a cancelled job, is
+	// answered, at the latest by asking the user to retry. Users wait 5 s for the reply.
+	userReplyTimeout = 4500 * time.Millisecond
 )
 
 // Errors of a cancellation.
@@ -40,7 +40,7 @@
 // Cancel cancels a job unless it has already ended, and answers with its terminal status. The user is
 // told that the job is cancelled only once no node will start a task of it any more.
 func (h *cancellationHandler) Cancel(ctx context.Context, uid string) api.Response {
-	deadline := time.Now().Add(cancelReplyTimeout)
+	deadline := time.Now().Add(userReplyTimeout)
 	if !h.rateLimiter.allow(callCancel) {
 		return unavailable
 	}
--- a/controller/cancellationconfirmer.go
+++ b/controller/cancellationconfirmer.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"junipershelf/internal/ctxtime"
 	"junipershelf/membership"
 )
 
@@ -42,6 +43,19 @@
 	log        *slog.Logger
 }
 
+// newCancellationConfirmer creates the confirmer of a node.
+func newCancellationConfirmer(shared *sharedComponents, peering *peeringComponents) *cancellationConfirmer {
+	return &cancellationConfirmer{
+		nodeName:   shared.settings.NodeName,
+		state:      shared.state,
+		membership: shared.membership,
+		tracker:    peering.tracker,
+		replicator: peering.replicator,
+		metrics:    shared.metrics,
+		log:        shared.log,
+	}
+}
+
 // await waits until a job's cancellation has taken effect on all nodes. It reports false if it has not
 // by the deadline, or if the context ends first.
 func (c *cancellationConfirmer) await(ctx context.Context, uid string, deadline time.Time) (confirmed bool) {
@@ -73,7 +87,7 @@
 func (c *cancellationConfirmer) replicate(ctx context.Context, cancellation loggedCancellation) bool {
 	c.replicator.replicate(ctx)
 	for !c.hasTakenEffect(cancellation) {
-		if !sleep(ctx, cancellationCheckInterval) {
+		if !ctxtime.Sleep(ctx, cancellationCheckInterval) {
 			return false
 		}
 	}
--- a/controller/cataloguerefresher.go
+++ b/controller/cataloguerefresher.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"junipershelf/cloud"
+	"junipershelf/internal/ctxtime"
 	"junipershelf/protocol"
 	"junipershelf/statestore"
 )
@@ -44,7 +45,7 @@
 
 // run reads the machine types at intervals until the context is cancelled.
 func (r *catalogueRefresher) run(ctx context.Context) {
-	for pause := time.Duration(0); sleep(ctx, pause); {
+	for pause := time.Duration(0); ctxtime.Sleep(ctx, pause); {
 		pause = r.refresh(ctx)
 	}
 }
--- a/controller/committer.go
+++ b/controller/committer.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"junipershelf/internal/ctxtime"
 	"junipershelf/membership"
 	"junipershelf/partition"
 	"junipershelf/protocol"
@@ -55,7 +56,7 @@
 		case <-c.commitWanted:
 		}
 		for c.commitNext(ctx) && ctx.Err() == nil {
-			sleep(ctx, commitBatchDelay)
+			ctxtime.Sleep(ctx, commitBatchDelay)
 		}
 	}
 }
@@ -137,7 +138,7 @@
 			c.giveUp(p, commit)
 			return false
 		}
-		sleep(ctx, storeRetryDelay)
+		ctxtime.Sleep(ctx, storeRetryDelay)
 	}
 	return false
 }
--- a/controller/compaction.go
+++ b/controller/compaction.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"junipershelf/internal/ctxtime"
 	"junipershelf/job"
 	"junipershelf/membership"
 	"junipershelf/partition"
@@ -45,7 +46,7 @@
 
 // run compacts at intervals until the context is cancelled.
 func (c *compactor) run(ctx context.Context) {
-	for sleep(ctx, compactionInterval) {
+	for ctxtime.Sleep(ctx, compactionInterval) {
 		c.compactNext(ctx)
 	}
 }
@@ -61,7 +62,7 @@
 	switch {
 	case errors.Is(err, statestore.ErrTooLarge):
 		c.log.Warn("compaction is too large for the key-value store", "jobs", len(batch.compactions))
-		sleep(ctx, tooLargeRetryDelay)
+		ctxtime.Sleep(ctx, tooLargeRetryDelay)
 	case err != nil:
 		c.log.Error("compaction could not be encoded", "err", err)
 	}
@@ -103,7 +104,7 @@
 		if retries.recordFailure(err) {
 			return nil // the next batch is smaller and may fit the store's rate limits
 		}
-		sleep(ctx, storeRetryDelay)
+		ctxtime.Sleep(ctx, storeRetryDelay)
 	}
 	return nil
 }
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -21,7 +21,6 @@
 	"log/slog"
 	"net"
 	"slices"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -105,16 +104,6 @@
 // loop is a component's background work, which runs until the context is cancelled.
 type loop func(context.Context)
 
-// sleep waits for d. It reports false if the context is cancelled first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // signal sends to a channel of capacity one without blocking; if the channel is full, a signal is
 // already pending.
 func signal(ch chan<- struct{}) {
--- a/controller/failover.go
+++ b/controller/failover.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"junipershelf/cloud"
+	"junipershelf/internal/ctxtime"
 	"junipershelf/membership"
 	"junipershelf/partition"
 	"junipershelf/protocol"
@@ -73,7 +74,7 @@
 		}
 		if err := f.takeOver(ctx, view, firstSeen); err != nil {
 			f.failures.logFailure("reading a view's records failed", err)
-			if !sleep(ctx, loadRetryDelay) {
+			if !ctxtime.Sleep(ctx, loadRetryDelay) {
 				return
 			}
 			f.retryView()
--- a/controller/fleetscaler.go
+++ b/controller/fleetscaler.go
@@ -10,6 +10,7 @@
 
 	"junipershelf/autoscaler"
 	"junipershelf/cloud"
+	"junipershelf/internal/ctxtime"
 	"junipershelf/protocol"
 	"junipershelf/scheduler"
 )
@@ -100,7 +101,7 @@
 	ids, err := f.cloud.ScaleOut(ctx, call)
 	if errors.Is(err, cloud.ErrUnknown) {
 		// A retry with the same idempotency key either scales out or returns the first call's result.
-		sleep(ctx, cloudRetryDelay)
+		ctxtime.Sleep(ctx, cloudRetryDelay)
 		ids, err = f.cloud.ScaleOut(ctx, call)
 	}
 	f.state.mu.Lock()
--- a/controller/jobwatcher.go
+++ b/controller/jobwatcher.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"junipershelf/internal/ctxtime"
 	"junipershelf/internal/httpcall"
 	"junipershelf/internal/limits"
 	"junipershelf/job"
@@ -43,7 +44,7 @@
 	for ctx.Err() == nil {
 		revision, err := w.list(ctx)
 		if err != nil {
-			sleep(ctx, jobListRetryDelay)
+			ctxtime.Sleep(ctx, jobListRetryDelay)
 			continue
 		}
 		w.watchFrom(ctx, revision)
@@ -61,7 +62,7 @@
 			if errors.Is(err, httpcall.ErrReplyTooLong) {
 				w.limitCounts.record(limits.Replies)
 			}
-			sleep(ctx, jobWatchRetryDelay)
+			ctxtime.Sleep(ctx, jobWatchRetryDelay)
 			if revision == 0 || errors.Is(err, statestore.ErrRevisionCompacted) {
 				return
 			}
@@ -69,7 +70,7 @@
 		}
 		w.applyEvents(reply.Events, sent)
 		revision = max(revision, reply.StoreRevision)
-		sleep(ctx, jobWatchBatchDelay)
+		ctxtime.Sleep(ctx, jobWatchBatchDelay)
 		if revision == 0 {
 			return
 		}
--- a/controller/machinelister.go
+++ b/controller/machinelister.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"junipershelf/cloud"
+	"junipershelf/internal/ctxtime"
 	"junipershelf/internal/limits"
 )
 
@@ -25,7 +26,7 @@
 
 // run reads the list at intervals until the context is cancelled.
 func (l *machineLister) run(ctx context.Context) {
-	for pause := time.Duration(0); sleep(ctx, pause); {
+	for pause := time.Duration(0); ctxtime.Sleep(ctx, pause); {
 		pause = l.listOnce(ctx)
 	}
 }
--- a/controller/machineterminator.go
+++ b/controller/machineterminator.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"junipershelf/cloud"
+	"junipershelf/internal/ctxtime"
 	"junipershelf/membership"
 	"junipershelf/partition"
 )
@@ -35,7 +36,7 @@
 
 // run terminates machines at intervals until the context is cancelled.
 func (t *machineTerminator) run(ctx context.Context) {
-	for pause := scaleInInterval; sleep(ctx, pause); {
+	for pause := scaleInInterval; ctxtime.Sleep(ctx, pause); {
 		pause = t.terminateOnce(ctx)
 	}
 }
--- a/controller/mailboxserver.go
+++ b/controller/mailboxserver.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"junipershelf/internal/ctxtime"
 	"junipershelf/membership"
 	"junipershelf/peer"
 	"junipershelf/protocol"
@@ -40,7 +41,7 @@
 		view, leads := s.state.leadingView()
 		if !leads {
 			s.knownRevision = 0
-			sleep(ctx, leaderCheckInterval)
+			ctxtime.Sleep(ctx, leaderCheckInterval)
 			continue
 		}
 		for _, part := range s.receive(ctx, view) {
@@ -62,7 +63,7 @@
 func (s *mailboxServer[Call, Reply]) list(ctx context.Context, view membership.View) []peer.MessagePart {
 	entries, revision, err := s.transport.store.List(ctx, statestore.PriorityBackground, peer.CallPrefix)
 	if err != nil {
-		sleep(ctx, callListRetryDelay)
+		ctxtime.Sleep(ctx, callListRetryDelay)
 		return nil
 	}
 	var parts []peer.MessagePart
@@ -82,7 +83,7 @@
 		if errors.Is(err, statestore.ErrRevisionCompacted) {
 			s.knownRevision = 0
 		}
-		sleep(ctx, callWatchRetryDelay)
+		ctxtime.Sleep(ctx, callWatchRetryDelay)
 		return nil
 	}
 	var parts []peer.MessagePart
--- a/controller/partitionticker.go
+++ b/controller/partitionticker.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"junipershelf/internal/ctxtime"
 )
 
 // tickInterval is the interval at which the partition's time-based state is updated.
@@ -18,7 +20,7 @@
 
 // run ticks at intervals until the context is cancelled.
 func (t *partitionTicker) run(ctx context.Context) {
-	for sleep(ctx, tickInterval) {
+	for ctxtime.Sleep(ctx, tickInterval) {
 		t.tick()
 	}
 }
--- a/controller/pinger.go
+++ b/controller/pinger.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"junipershelf/internal/ctxtime"
 	"junipershelf/job"
 	"junipershelf/membership"
 	"junipershelf/peer"
@@ -42,7 +43,7 @@
 func (p *pinger) run(ctx context.Context) {
 	var rounds sync.WaitGroup
 	defer rounds.Wait()
-	for sleep(ctx, pingInterval) {
+	for ctxtime.Sleep(ctx, pingInterval) {
 		rounds.Go(func() { p.pingAll(ctx) })
 	}
 }
--- a/controller/schedulingloop.go
+++ b/controller/schedulingloop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"junipershelf/internal/ctxtime"
 	"junipershelf/membership"
 )
 
@@ -34,7 +35,7 @@
 func (l *schedulingLoop) run(ctx context.Context) {
 	defer l.scaler.wait()
 	l.metricsLoggedAt = time.Now()
-	for sleep(ctx, planInterval) {
+	for ctxtime.Sleep(ctx, planInterval) {
 		l.runOnce(ctx, time.Now())
 	}
 }
--- a/controller/status.go
+++ b/controller/status.go
@@ -13,11 +13,11 @@
 // statusHandler answers status reads. Reads are linearizable: a response is never older than what any
 // node had reported to a user before the read arrived.
 type statusHandler struct {
-	jobs        *jobReader
-	confirmer   *statusConfirmer
-	rateLimiter *userRateLimiter
-	state       *nodeState
-	cancelled   *cancellationConfirmer
+	jobs          *jobReader
+	confirmer     *statusConfirmer
+	rateLimiter   *userRateLimiter
+	state         *nodeState
+	cancellations *cancellationConfirmer
 }
 
 // statusReplyTimeout is the time within which a status read of a cancelled job is answered, at the latest by
@@ -84,7 +84,7 @@
 // endedStatus returns the status of a job that has ended. A job is called cancelled only once no node
 // will start a task of it any more; until then, at the latest until the deadline, the reply waits.
 func (h *statusHandler) endedStatus(ctx context.Context, uid string, terminal job.TerminalState, deadline time.Time) api.Response {
-	if terminal.Status == job.StatusCancelled && !h.cancelled.await(ctx, uid, deadline) {
+	if terminal.Status == job.StatusCancelled && !h.cancellations.await(ctx, uid, deadline) {
 		return unavailable
 	}
 	return terminalStatus(uid, terminal)
--- a/controller/statusconfirmer.go
+++ b/controller/statusconfirmer.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"junipershelf/internal/ctxtime"
 	"junipershelf/job"
 	"junipershelf/protocol"
 	"junipershelf/statestore"
@@ -88,7 +89,7 @@
 		began := time.Now()
 		retried = c.confirmBatch(ctx, batch)
 		interval := time.Duration(float64(time.Second) / (confirmationShare * c.store.RequestRate()))
-		if !sleep(ctx, max(interval-time.Since(began), minConfirmationDelay)) {
+		if !ctxtime.Sleep(ctx, max(interval-time.Since(began), minConfirmationDelay)) {
 			return
 		}
 	}
--- a/controller/submission.go
+++ b/controller/submission.go
@@ -32,7 +32,7 @@
 // Submit accepts a job once its record has been written to the key-value store.
 func (h *submissionHandler) Submit(ctx context.Context, spec *protocol.JobSpec) api.Response {
 	receivedAt := time.Now()
-	deadline := receivedAt.Add(cancelReplyTimeout)
+	deadline := receivedAt.Add(userReplyTimeout)
 	infeasible := h.feasibility.check(spec)
 	if !h.rateLimiter.allow(callSubmit) {
 		return unavailable
--- a/controller/syncclient.go
+++ b/controller/syncclient.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"junipershelf/internal/ctxtime"
 	"junipershelf/membership"
 	"junipershelf/partition"
 	"junipershelf/peer"
@@ -58,7 +59,7 @@
 
 // run calls the leader at intervals until the context is cancelled.
 func (c *syncClient) run(ctx context.Context) {
-	for pause := syncInterval; sleep(ctx, pause); {
+	for pause := syncInterval; ctxtime.Sleep(ctx, pause); {
 		pause = c.syncOnce(ctx)
 	}
 }
--- a/controller/transactions.go
+++ b/controller/transactions.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"junipershelf/internal/ctxtime"
 	"junipershelf/membership"
 	"junipershelf/partition"
 	"junipershelf/protocol"
@@ -63,7 +64,7 @@
 			entry.Key = key
 			return entry, true
 		}
-		sleep(ctx, storeRetryDelay)
+		ctxtime.Sleep(ctx, storeRetryDelay)
 	}
 	return protocol.Entry{}, false
 }
--- a/controller/userservice.go
+++ b/controller/userservice.go
@@ -35,16 +35,8 @@
 	jobs := &jobReader{store: store, state: shared.state, terminalStates: peering.terminalStates, failures: shared.failures}
 	rateLimiter := newUserRateLimiter(shared.settings.Facts.Store)
 	confirmer := newStatusConfirmer(shared.store, jobs.cachedRevision, shared.nodeLimits.StatusReads, func() { shared.limitCounts.record(limits.StatusReads) })
-	confirmedCancellations := &cancellationConfirmer{
-		nodeName:   shared.settings.NodeName,
-		state:      shared.state,
-		membership: shared.membership,
-		tracker:    peering.tracker,
-		replicator: peering.replicator,
-		metrics:    shared.metrics,
-		log:        shared.log,
-	}
-	statuses := &statusHandler{jobs: jobs, confirmer: confirmer, rateLimiter: rateLimiter, state: shared.state, cancelled: confirmedCancellations}
+	confirmedCancellations := newCancellationConfirmer(shared, peering)
+	statuses := &statusHandler{jobs: jobs, confirmer: confirmer, rateLimiter: rateLimiter, state: shared.state, cancellations: confirmedCancellations}
 	submissions := &submissionHandler{
 		feasibility: feasibilityCheck{teams: shared.teams, quotas: shared.settings.Facts.Teams, catalogue: shared.catalogue},
 		rateLimiter: rateLimiter,
--- a/controller/userstoreclient.go
+++ b/controller/userstoreclient.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"junipershelf/internal/ctxtime"
 	"junipershelf/protocol"
 	"junipershelf/statestore"
 )
@@ -51,7 +52,7 @@
 func retryRateLimited(ctx context.Context, call func(context.Context) error) error {
 	for deadline := time.Now().Add(userCallTimeout); ; {
 		err := call(ctx)
-		if !errors.Is(err, statestore.ErrRateLimited) || time.Now().After(deadline) || !sleep(ctx, userRetryDelay) {
+		if !errors.Is(err, statestore.ErrRateLimited) || time.Now().After(deadline) || !ctxtime.Sleep(ctx, userRetryDelay) {
 			return err
 		}
 	}
--- a/internal/emulator/agent.go
+++ b/internal/emulator/agent.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"junipershelf/internal/ctxtime"
 	"junipershelf/protocol"
 )
 
@@ -61,10 +62,8 @@
 
 // run boots the machine and sends heartbeats until the context ends.
 func (a *agent) run(ctx context.Context, boot time.Duration) {
-	select {
-	case <-ctx.Done():
+	if !ctxtime.Sleep(ctx, boot) {
 		return
-	case <-time.After(boot):
 	}
 	client := a.cloud.client(a.id)
 	defer client.CloseIdleConnections()
@@ -81,6 +80,9 @@
 		}
 		var wait time.Duration
 		node, wait = a.sendHeartbeat(client, nodes, node)
+		if wait <= 0 {
+			continue
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
@@ -105,7 +107,7 @@
 	a.expireLease()
 	left := a.cloud.invariants.LeaseDuration - time.Since(a.lastAcknowledged) + leaseCheckMargin
 	a.cloud.mu.Unlock()
-	time.AfterFunc(left, func() { a.watchLease(ctx) })
+	ctxtime.AfterFunc(left, func() { a.watchLease(ctx) })
 }
 
 // expireLease drops all tasks and begins the next epoch if the lease has expired. The caller
--- a/internal/emulator/agenttasks.go
+++ b/internal/emulator/agenttasks.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"junipershelf/internal/ctxtime"
 	"junipershelf/protocol"
 )
 
@@ -117,7 +118,7 @@
 	}
 	t.status = protocol.TaskFetching
 	a.tasks[command.Task] = t
-	t.timer = time.AfterFunc(a.fetchTime(spec), func() { a.startRunning(t, spec) })
+	t.timer = ctxtime.AfterFunc(a.fetchTime(spec), func() { a.startRunning(t, spec) })
 }
 
 // fetchTime returns how long the machine takes to fetch a job's image, 0 if it is cached.
@@ -167,7 +168,7 @@
 	if spec.Shape == protocol.ShapeService {
 		runTime = serviceRunTime
 	}
-	t.timer = time.AfterFunc(runTime, func() { a.complete(t, spec) })
+	t.timer = ctxtime.AfterFunc(runTime, func() { a.complete(t, spec) })
 }
 
 // complete ends a task whose run time is over. It acquires the cloud's lock.
--- a/internal/emulator/cloudfaults.go
+++ b/internal/emulator/cloudfaults.go
@@ -1,6 +1,10 @@
 package emulator
 
-import "time"
+import (
+	"time"
+
+	"junipershelf/internal/ctxtime"
+)
 
 // Reclaim removes a machine without a preemption notice.
 func (c *Cloud) Reclaim(machine string) {
@@ -35,10 +39,8 @@
 
 // sendCopy sends a copy of a heartbeat after a delay, even if its machine is removed meanwhile.
 func (c *Cloud) sendCopy(machine, node string, raw []byte, delay time.Duration) {
-	select {
-	case <-c.ctx.Done():
+	if !ctxtime.Sleep(c.ctx, delay) {
 		return
-	case <-time.After(delay):
 	}
 	client := c.client(machine)
 	defer client.CloseIdleConnections()
--- a/internal/emulator/directtransport.go
+++ b/internal/emulator/directtransport.go
@@ -3,7 +3,8 @@
 import (
 	"net/http"
 	"net/http/httptest"
-	"time"
+
+	"junipershelf/internal/ctxtime"
 )
 
 // Process is a running controller that is called through its handler, without a connection.
@@ -48,10 +49,8 @@
 		<-r.Context().Done()
 		return r.Context().Err()
 	}
-	select {
-	case <-r.Context().Done():
+	if !ctxtime.Sleep(r.Context(), d.Network.messageDelay()) {
 		return r.Context().Err()
-	case <-time.After(d.Network.messageDelay()):
-		return nil
 	}
+	return nil
 }
--- a/internal/emulator/invariants.go
+++ b/internal/emulator/invariants.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"junipershelf/internal/ctxtime"
 	"junipershelf/protocol"
 )
 
@@ -127,7 +128,7 @@
 		return
 	}
 	c.cancelledAt[job] = time.Now()
-	time.AfterFunc(c.invariants.CancellationDeadline, func() { c.checkCancelled(job) })
+	ctxtime.AfterFunc(c.invariants.CancellationDeadline, func() { c.checkCancelled(job) })
 }
 
 // checkCancelled checks that no task of a cancelled job is active.
--- a/internal/emulator/storefaults.go
+++ b/internal/emulator/storefaults.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/time/rate"
 
+	"junipershelf/internal/ctxtime"
 	"junipershelf/protocol"
 )
 
@@ -174,7 +175,7 @@
 
 // applyAfter applies a transaction after a delay.
 func (s *Store) applyAfter(delay time.Duration, t *protocol.Transaction) {
-	time.AfterFunc(delay, func() {
+	ctxtime.AfterFunc(delay, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.apply(t)
--- a/internal/emulator/storeserver.go
+++ b/internal/emulator/storeserver.go
@@ -153,7 +153,7 @@
 	prefix := query.Get("under")
 	since, _ := strconv.ParseUint(query.Get("since"), 10, 64) // without a revision: from the first
 	waitMS, _ := strconv.Atoi(query.Get("wait_ms"))
-	timeout := time.After(time.Duration(waitMS) * time.Millisecond)
+	deadline := time.Now().Add(time.Duration(waitMS) * time.Millisecond)
 	for {
 		s.mu.Lock()
 		s.expireLeases()
@@ -169,14 +169,18 @@
 			reply(w, http.StatusOK, watchReply)
 			return
 		}
+		left := time.Until(deadline)
+		if left <= 0 && !refused {
+			reply(w, http.StatusOK, watchReply)
+			return
+		}
+		if left <= 0 {
+			left = outageWatchPoll
+		}
+		// A new timer in each round, so that none is due already when it is selected on (see ctxtime.Sleep).
 		select {
 		case <-changed:
-		case <-timeout:
-			if !refused {
-				reply(w, http.StatusOK, watchReply)
-				return
-			}
-			timeout = time.After(outageWatchPoll)
+		case <-time.After(left):
 		case <-r.Context().Done():
 			return
 		}
--- a/internal/loadtest/faults.go
+++ b/internal/loadtest/faults.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"junipershelf/internal/ctxtime"
 	"junipershelf/settings"
 )
 
@@ -33,7 +34,7 @@
 		{part, c.disconnectAgents},
 		{part, c.killAllControllers},
 	} {
-		if !sleep(ctx, fault.after) {
+		if !ctxtime.Sleep(ctx, fault.after) {
 			return ctx.Err()
 		}
 		if err := fault.inject(ctx); err != nil {
@@ -52,7 +53,7 @@
 func (c *cluster) disconnectAgents(ctx context.Context) error {
 	c.printf("disconnecting a third of the agents")
 	c.network.SetBlocked(func(machine string) bool { return crc32.ChecksumIEEE([]byte(machine))%disconnectOneIn == 0 })
-	if !sleep(ctx, settings.Seconds(leaseS*disconnectedLeases)) {
+	if !ctxtime.Sleep(ctx, settings.Seconds(leaseS*disconnectedLeases)) {
 		return ctx.Err()
 	}
 	c.printf("reconnecting the agents")
--- a/internal/loadtest/loadtest.go
+++ b/internal/loadtest/loadtest.go
@@ -17,6 +17,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"junipershelf/internal/ctxtime"
 	"junipershelf/internal/emulator"
 	"junipershelf/protocol"
 	"junipershelf/settings"
@@ -166,7 +167,7 @@
 		for i := range total {
 			cancelAfter := cancelDelay(i)
 			jobs.Go(func() { c.users.runJob(ctx, newSubmission(i), cancelAfter) })
-			if i > int(float64(total)*burstShare) && !sleep(ctx, interval) {
+			if i > int(float64(total)*burstShare) && !ctxtime.Sleep(ctx, interval) {
 				return
 			}
 		}
--- a/internal/loadtest/process.go
+++ b/internal/loadtest/process.go
@@ -11,6 +11,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"junipershelf/internal/ctxtime"
 	"junipershelf/settings"
 )
 
@@ -79,7 +80,7 @@
 	if err := p.kill(); err != nil {
 		return err
 	}
-	if !sleep(ctx, downtime) {
+	if !ctxtime.Sleep(ctx, downtime) {
 		return ctx.Err()
 	}
 	return p.start(ctx)
--- a/internal/loadtest/usage.go
+++ b/internal/loadtest/usage.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"junipershelf/internal/ctxtime"
 )
 
 // usage is a controller's resource usage.
@@ -25,7 +27,7 @@
 // usage, until the context ends.
 func (c *cluster) reportUsage(ctx context.Context) {
 	last := make([]usage, controllerCount)
-	for sleep(ctx, reportInterval) {
+	for ctxtime.Sleep(ctx, reportInterval) {
 		var controllers strings.Builder
 		for i, p := range c.controllers {
 			u := p.usage()
--- a/internal/loadtest/users.go
+++ b/internal/loadtest/users.go
@@ -13,6 +13,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"junipershelf/internal/ctxtime"
 	"junipershelf/internal/emulator"
 	"junipershelf/protocol"
 )
@@ -108,7 +109,7 @@
 	}
 	u.recordLatency(u.submitMS, time.Since(started))
 	accepted := time.Now()
-	if cancelAfter > 0 && sleep(ctx, cancelAfter) {
+	if cancelAfter > 0 && ctxtime.Sleep(ctx, cancelAfter) {
 		u.cancel(ctx, spec.UID)
 		return
 	}
@@ -128,7 +129,7 @@
 		case http.StatusCreated, http.StatusOK:
 			return true
 		case 0:
-			sleep(ctx, retryPause)
+			ctxtime.Sleep(ctx, retryPause)
 		default:
 			u.recordViolation("POST %s: status %d, expected 200 or 201", path, code)
 			return false
@@ -139,7 +140,7 @@
 
 // awaitDone polls a job until it is done, and reports whether it completed.
 func (u *users) awaitDone(ctx context.Context, uid string) bool {
-	for sleep(ctx, pollInterval) {
+	for ctxtime.Sleep(ctx, pollInterval) {
 		code, status := u.call(ctx, http.MethodGet, "/api/jobs/"+uid, nil)
 		switch {
 		case code == http.StatusNotFound:
@@ -160,7 +161,7 @@
 	for ctx.Err() == nil {
 		code, status := u.call(ctx, http.MethodPost, "/api/jobs/"+uid+"/cancel", map[string]any{})
 		if code != http.StatusOK {
-			sleep(ctx, retryPause)
+			ctxtime.Sleep(ctx, retryPause)
 			continue
 		}
 		if status.Status == "cancelled" {
@@ -255,13 +256,3 @@
 		panic(err) // only for values outside the range
 	}
 }
-
-// sleep waits for a duration. It returns false if the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
