Rename RunningSince, PlaceableWork and the mailbox's limit to what they are

RunningCountsSince returns counts, HasPlaceableWork is a boolean (messages are arrays, so nothing on the wire changes), and maxPartBytesPerTransaction limits the parts in a transaction, not a message.

--- a/controller/mailbox.go
+++ b/controller/mailbox.go
@@ -24,9 +24,9 @@
 	mailboxChangesShare = 0.1
 	// changesPerCall is the minimum number of changes for a call and its reply.
 	changesPerCall = 2
-	// maxMessageBytes is the maximum size of the message parts in one transaction, unless it has
+	// maxPartBytesPerTransaction is the maximum size of the message parts in one transaction, unless it has
 	// only one part. It keeps the transaction well below the 64 KiB limit of a request.
-	maxMessageBytes = 48 << 10
+	maxPartBytesPerTransaction = 48 << 10
 )
 
 // mailboxTransport carries calls and replies of any type through mailboxes in the key-value store
@@ -174,7 +174,7 @@
 func (t *mailboxTransport) partsPerTransaction(parts []peer.MessagePart) int {
 	count, size := 0, 0
 	for _, part := range parts {
-		if count >= t.store.MaxChanges() || size > 0 && size+len(part.Text) >= maxMessageBytes {
+		if count >= t.store.MaxChanges() || size > 0 && size+len(part.Text) >= maxPartBytesPerTransaction {
 			break
 		}
 		count++
--- a/controller/mailbox_test.go
+++ b/controller/mailbox_test.go
@@ -186,9 +186,9 @@
 		transport := m.transport("caller")
 		for _, c := range []struct{ count, bytes, want int }{
 			{1, 10, 1},
-			{30, 10, 16},                 // limited by the changes per transaction
-			{30, maxMessageBytes / 4, 3}, // limited by the bytes per request
-			{2, 2 * maxMessageBytes, 1},  // at least one
+			{30, 10, 16},                            // limited by the changes per transaction
+			{30, maxPartBytesPerTransaction / 4, 3}, // limited by the bytes per request
+			{2, 2 * maxPartBytesPerTransaction, 1},  // at least one
 		} {
 			parts := make([]peer.MessagePart, c.count)
 			for i := range parts {
--- a/controller/syncclient.go
+++ b/controller/syncclient.go
@@ -162,7 +162,7 @@
 	p.Preempt(reply.Stop)
 	current.applyRunningTasks(reply.Running)
 	current.fleetVersion = reply.FleetVersion
-	current.hasPlaceableWork = reply.PlaceableWork
+	current.hasPlaceableWork = reply.HasPlaceableWork
 	c.metrics.recordSync()
 	p.Tick(now)
 	signal(c.commitWanted)
--- a/controller/syncserver.go
+++ b/controller/syncserver.go
@@ -36,11 +36,11 @@
 	reply.Assignments = leader.scheduler.UnacknowledgedAssignments(call.Index)
 	reply.FleetBase = leader.scheduler.BaseVersion(call.FleetVersion)
 	reply.Fleet, reply.FleetRemoved, reply.FleetVersion = leader.scheduler.FleetSince(reply.FleetBase)
-	reply.Running = leader.scheduler.RunningSince(reply.FleetBase)
+	reply.Running = leader.scheduler.RunningCountsSince(reply.FleetBase)
 	reply.Evict = s.machinesOf(call.Index, leader.evict)
 	reply.Terminate = s.machinesOf(call.Index, leader.terminate)
 	reply.Stop = leader.scheduler.Preemptions(call.Index)
-	reply.PlaceableWork = current.hasPlaceableWork
+	reply.HasPlaceableWork = current.hasPlaceableWork
 	return reply
 }
 
--- a/internal/decisiontrace/leader_test.go
+++ b/internal/decisiontrace/leader_test.go
@@ -76,10 +76,10 @@
 	reply.Assignments = l.scheduler.UnacknowledgedAssignments(request.Index)
 	reply.FleetBase = l.scheduler.BaseVersion(request.FleetVersion)
 	reply.Fleet, reply.FleetRemoved, reply.FleetVersion = l.scheduler.FleetSince(reply.FleetBase)
-	reply.Running = l.scheduler.RunningSince(reply.FleetBase)
+	reply.Running = l.scheduler.RunningCountsSince(reply.FleetBase)
 	reply.Evict, reply.Terminate = h.ownedBy(request.Index, l.evict), h.ownedBy(request.Index, l.terminate)
 	reply.Stop = l.scheduler.Preemptions(request.Index)
-	reply.PlaceableWork = l.placeableWork
+	reply.HasPlaceableWork = l.placeableWork
 	return reply
 }
 
--- a/internal/decisiontrace/owner_test.go
+++ b/internal/decisiontrace/owner_test.go
@@ -230,7 +230,7 @@
 	o.partition.Evict(reply.Evict, h.now)
 	o.partition.TerminateWithoutEviction(reply.Terminate, h.now)
 	o.partition.Preempt(reply.Stop)
-	o.fleetVersion, o.placeableWork = reply.FleetVersion, reply.PlaceableWork
+	o.fleetVersion, o.placeableWork = reply.FleetVersion, reply.HasPlaceableWork
 	o.partition.Tick(h.now)
 }
 
--- a/peer/golden_test.go
+++ b/peer/golden_test.go
@@ -68,7 +68,7 @@
 		{"syncreply", messages, SyncReply{
 			View: 4, OK: true, UpdateVersion: 9, Assignments: []scheduler.Assignment{{Seq: 5, Job: "wk-000412", Tasks: tasks(8, 9), Machine: "i-000231", Gang: 2}},
 			Evict: []string{"i-000231"}, Terminate: []string{"i-000232"}, Stop: []job.Task{{Job: "wk-000412", Index: 6}}, FleetBase: 6, FleetVersion: 8,
-			Fleet: []partition.FleetMachine{{ID: "i-000231", Underloaded: true, FreeResources: resources}}, FleetRemoved: []string{"i-000009"}, Running: map[string]int{"wk-000412": 4}, PlaceableWork: true,
+			Fleet: []partition.FleetMachine{{ID: "i-000231", Underloaded: true, FreeResources: resources}}, FleetRemoved: []string{"i-000009"}, Running: map[string]int{"wk-000412": 4}, HasPlaceableWork: true,
 		}},
 		{"forward", messages, Forward{Body: []byte{1, 2, 3}}},
 		{"forwardreply", messages, ForwardReply{Code: 200, Body: []byte{4}}},
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -20,20 +20,20 @@
 // SyncReply is the leader's reply to a Sync.
 type SyncReply struct {
 	//lint:ignore U1000 the msgpack library reads the tag of this field
-	_msgpack      struct{} `msgpack:",as_array"`
-	View          uint64   // the leader's; if it is not the caller's, all other fields are invalid
-	OK            bool
-	UpdateVersion uint64 // the last of the owner's update versions that the leader has applied
-	Assignments   []scheduler.Assignment
-	Evict         []string // machines to evict gracefully
-	Terminate     []string // machines to terminate without waiting for their tasks
-	Stop          []job.Task
-	FleetBase     uint64 // version that Fleet and FleetRemoved are relative to; 0: Fleet is complete
-	FleetVersion  uint64 // version that Fleet and FleetRemoved lead to
-	Fleet         []partition.FleetMachine
-	FleetRemoved  []string
-	Running       map[string]int // running tasks by job
-	PlaceableWork bool           // there is waiting work that could be placed
+	_msgpack         struct{} `msgpack:",as_array"`
+	View             uint64   // the leader's; if it is not the caller's, all other fields are invalid
+	OK               bool
+	UpdateVersion    uint64 // the last of the owner's update versions that the leader has applied
+	Assignments      []scheduler.Assignment
+	Evict            []string // machines to evict gracefully
+	Terminate        []string // machines to terminate without waiting for their tasks
+	Stop             []job.Task
+	FleetBase        uint64 // version that Fleet and FleetRemoved are relative to; 0: Fleet is complete
+	FleetVersion     uint64 // version that Fleet and FleetRemoved lead to
+	Fleet            []partition.FleetMachine
+	FleetRemoved     []string
+	Running          map[string]int // running tasks by job
+	HasPlaceableWork bool           // there is waiting work that could be placed
 }
 
 // Ping is the state that two controllers exchange, in a call and in its reply. A version that
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -154,9 +154,9 @@
 	return s.cluster.changes.baseFor(knownVersion)
 }
 
-// RunningSince returns the number of running tasks of each job for which this number has changed since
+// RunningCountsSince returns the number of running tasks of each job for which this number has changed since
 // a version (see FleetSince).
-func (s *Scheduler) RunningSince(knownVersion uint64) map[string]int {
+func (s *Scheduler) RunningCountsSince(knownVersion uint64) map[string]int {
 	running := map[string]int{}
 	for uid, entry := range s.cluster.entries {
 		if entry.version > knownVersion {
