--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(w *world) error{
 	"behind":       runBehind,
 	"pinned":       runPinned,
+	"fragments":    runFragments,
 	"large-answer": runLargeAnswer,
 }
 
