Scale out for a task that fits on none of the machines with free pieces

Cause: the autoscaler added up the free resources of all machines of an offer and divided the sum by what a task needs; the scheduler looks at single machines. Booting and requested machines were summed in the same way. Two more answers differed: a machine with a queue for accelerators had room for the autoscaler and none for the scheduler, and FitCount tolerated a relative error where FitsIn tolerates an absolute one.

Change: freeCapacity keeps machines apart, in groups of equal ones, and a task is reserved on one of them; FitCount counts at least one task exactly when FitsIn is true.

Evidence: TestFreePiecesOfSeveralMachinesAreNoRoomForOneTask failed in six of seven subtests before (0 machines requested, want 1) and passes, as do TestBootingMachinesAreRoomOnlyOneByOne (7 requested, want 5) and TestFitCountAgreesWithFitsInAtTheTolerance.

--- a/autoscaler/autoscaler.go
+++ b/autoscaler/autoscaler.go
@@ -3,8 +3,9 @@
 // not safe for concurrent use.
 //
 // machines.go tracks the machines that the cloud has started, and offers.go the pending requests.
-// scaleout.go decides what to request, scalein.go which idle machines to remove, and eviction.go
-// which machines to drain so that they can be removed.
+// freecapacity.go tells where tasks have a place: on which single machines. scaleout.go decides what to
+// request, scalein.go which idle machines to remove, and eviction.go which machines to drain so that
+// they can be removed.
 package autoscaler
 
 import (
@@ -83,6 +84,7 @@
 	slices.Sort(plan.Terminate)
 	available := expected
 	a.addFreeCapacity(available, s)
+	available.compact()
 	plan.Requests = a.withinMachineLimit(a.scaleOut(now, s, waiting, available))
 	plan.Evict = a.idleMachines(now, s, waiting)
 	if len(waiting) == 0 && len(plan.Requests) == 0 {
@@ -93,8 +95,8 @@
 
 // unreportedMachines returns the capacity of requested and booting machines that have not reported
 // yet, and the ids of those that have failed or are lost.
-func (a *Autoscaler) unreportedMachines(now time.Time, s *scheduler.Scheduler) (expected offerCapacity, lost []string) {
-	expected = offerCapacity{}
+func (a *Autoscaler) unreportedMachines(now time.Time, s *scheduler.Scheduler) (expected freeCapacity, lost []string) {
+	expected = freeCapacity{}
 	for id, tracked := range a.machines.tracked {
 		if m := s.Machine(id); m != nil && m.Reported {
 			continue
@@ -145,9 +147,9 @@
 
 // addFreeCapacity adds the capacity that is free now. Running tasks are assumed to hold their
 // resources for longer than a machine takes to boot.
-func (a *Autoscaler) addFreeCapacity(available offerCapacity, s *scheduler.Scheduler) {
+func (a *Autoscaler) addFreeCapacity(available freeCapacity, s *scheduler.Scheduler) {
 	for _, m := range s.Machines() {
-		if m.Schedulable() && !a.isFaulty(m, s) {
+		if m.AcceptsTasksNow() && !a.isFaulty(m, s) {
 			available.add(offerOf(m), m.FreeNow, 1)
 		}
 	}
--- /dev/null
+++ b/autoscaler/freecapacity_test.go
@@ -0,0 +1,150 @@
+package autoscaler_test
+
+import (
+	"testing"
+	"time"
+
+	"junipershelf/autoscaler"
+	"junipershelf/internal/benchsizes"
+	"junipershelf/job"
+	"junipershelf/partition"
+	"junipershelf/protocol"
+	"junipershelf/scheduler"
+)
+
+// octa is a machine type with several kinds of resources.
+var octa = protocol.MachineType{Name: "octa", CPUs: 8, Accelerators: 2, MemGB: 64, Price: 0.6, SpotPrice: 0.2, BootS: 50, Zones: []string{"a", "b"}}
+
+// octaMachine returns a spot machine with some free resources.
+func octaMachine(id, zone string, free job.Resources, held ...partition.HeldTasks) partition.MachineState {
+	idleS := -1.0
+	if len(held) == 0 && free.CPUs == octa.CPUs {
+		idleS = 0
+	}
+	return partition.MachineState{
+		ID: id, MachineType: octa.Name, Zone: zone, Spot: true, Usable: true, Reported: true, IdleS: idleS, Free: free, Held: held,
+	}
+}
+
+// octaFleet returns an autoscaler and the scheduler of one owner's octa machines, with jobs that may run
+// on spot machines. The only team has no limit that matters.
+func octaFleet(tb testing.TB, specs []protocol.JobSpec, states ...partition.MachineState) (*autoscaler.Autoscaler, *scheduler.Scheduler) {
+	tb.Helper()
+	cache := job.NewCache(map[string]int{"red": 0})
+	for _, spec := range specs {
+		spec.Team, spec.SpotAllowed, spec.ExpectedS = "red", true, 60
+		if spec.Priority == "" {
+			spec.Priority = "normal"
+		}
+		if err := cache.Set(spec.UID, job.Record{Spec: spec, SubmittedMS: t0.UnixMilli()}, 1, t0); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	all := job.Resources{CPUs: 1e6, Accelerators: 1e6}
+	capacity := func(string) (job.Resources, bool) { return autoscaler.Capacity(&octa), true }
+	leader := scheduler.New(scheduler.Config{}, []scheduler.Team{{Name: "red", Guarantee: all, Limit: all}}, 1, capacity, cache)
+	leader.ApplyUpdate(0, partition.Update{Sequence: 1, Version: 1, Machines: states}, t0)
+	scaler := autoscaler.New(testConfig)
+	scaler.Catalogue = []protocol.MachineType{octa}
+	return scaler, leader
+}
+
+// cycleAndPlan runs a scheduling cycle and returns the plan that follows it.
+func cycleAndPlan(scaler *autoscaler.Autoscaler, leader *scheduler.Scheduler, now time.Time) autoscaler.Plan {
+	return scaler.Plan(now, leader, leader.RunCycle(now))
+}
+
+// Guards against free resources of several machines that counted as room for a task which fits on none of
+// them: no machine was requested, and the task of an accepted job never ran.
+func TestFreePiecesOfSeveralMachinesAreNoRoomForOneTask(t *testing.T) {
+	gang := protocol.JobSpec{UID: "wk-1", Shape: protocol.ShapeGang, Tasks: 2, CPUs: 4, MemGB: 1}
+	for _, c := range []struct {
+		name string
+		spec protocol.JobSpec
+		free []job.Resources
+		want int
+	}{
+		{"CPUs", protocol.JobSpec{UID: "wk-1", Tasks: 1, CPUs: 4, MemGB: 1}, []job.Resources{{CPUs: 3, MemoryGB: 60}, {CPUs: 3, MemoryGB: 60}}, 1},
+		{"memory", protocol.JobSpec{UID: "wk-1", Tasks: 1, CPUs: 1, MemGB: 30}, []job.Resources{{CPUs: 4, MemoryGB: 20}, {CPUs: 4, MemoryGB: 20}}, 1},
+		{"accelerators", protocol.JobSpec{UID: "wk-1", Tasks: 1, CPUs: 1, Accelerators: 2, MemGB: 1}, []job.Resources{{CPUs: 4, Accelerators: 1, MemoryGB: 60}, {CPUs: 4, Accelerators: 1, MemoryGB: 60}}, 1},
+		{"CPUs of one machine and memory of another", protocol.JobSpec{UID: "wk-1", Tasks: 1, CPUs: 4, MemGB: 30}, []job.Resources{{CPUs: 6, MemoryGB: 10}, {CPUs: 1, MemoryGB: 60}}, 1},
+		{"a queue for accelerators", protocol.JobSpec{UID: "wk-1", Tasks: 1, CPUs: 4, MemGB: 1}, []job.Resources{{CPUs: 6, Accelerators: -1, MemoryGB: 60}}, 1},
+		{"a gang", gang, []job.Resources{{CPUs: 3, MemoryGB: 60}, {CPUs: 3, MemoryGB: 60}, {CPUs: 3, MemoryGB: 60}}, 1},
+		{"a task that fits is assigned", protocol.JobSpec{UID: "wk-1", Tasks: 1, CPUs: 4, MemGB: 1}, []job.Resources{{CPUs: 4, MemoryGB: 60}, {CPUs: 3, MemoryGB: 60}}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var states []partition.MachineState
+			for i, free := range c.free {
+				states = append(states, octaMachine(string(rune('a'+i)), "a", free))
+			}
+			scaler, leader := octaFleet(t, []protocol.JobSpec{c.spec}, states...)
+			got := 0
+			for _, request := range cycleAndPlan(scaler, leader, t0).Requests {
+				got += request.Count
+			}
+			if got != c.want {
+				t.Errorf("%d machines are requested, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+// Machines that are requested or booting are whole machines: their CPUs are no room for a task that is
+// too large for what earlier jobs leave on each of them.
+func TestBootingMachinesAreRoomOnlyOneByOne(t *testing.T) {
+	specs := []protocol.JobSpec{{UID: "wk-1", Priority: "urgent", Tasks: 4, CPUs: 5, MemGB: 1}, {UID: "wk-2", Tasks: 2, CPUs: 4, MemGB: 1}, {UID: "wk-3", Tasks: 4, CPUs: 3, MemGB: 1}}
+	scaler, leader := octaFleet(t, specs)
+	requested := 0
+	for range 3 { // the first plan requests the machines, the others find them pending
+		for _, request := range cycleAndPlan(scaler, leader, t0).Requests {
+			requested += request.Count
+			scaler.RecordRequest(request)
+		}
+		// Four machines for wk-1, one for both tasks of wk-2, none for wk-3.
+		if requested != 5 {
+			t.Fatalf("%d machines are requested, want 5", requested)
+		}
+	}
+}
+
+// BenchmarkPlan measures a plan with full machines whose free pieces differ, and with waiting jobs that
+// fit on none of them, for lack of CPUs or because no machine has enough CPUs and memory.
+func BenchmarkPlan(b *testing.B) {
+	for _, c := range []struct {
+		name string
+		free func(i int) job.Resources
+	}{
+		{"cpus", func(i int) job.Resources {
+			return job.Resources{CPUs: 1 + float64(i%90)/100, MemoryGB: float64(i % 60)}
+		}},
+		{"mixed", func(i int) job.Resources {
+			return job.Resources{CPUs: 1 + 6*float64(i%2), MemoryGB: 0.9 - float64(i)/1e4 + 50*float64((i+1)%2)}
+		}},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			benchsizes.Run(b, func(b *testing.B, machines int) {
+				b.Helper()
+				benchmarkPlan(b, machines, c.free)
+			})
+		})
+	}
+}
+
+// benchmarkPlan measures a plan with a number of machines and a third as many waiting jobs.
+func benchmarkPlan(b *testing.B, machines int, free func(i int) job.Resources) {
+	b.Helper()
+	var specs []protocol.JobSpec
+	for i := range machines / 3 {
+		specs = append(specs, protocol.JobSpec{UID: protocol.TaskName("wk", i), Tasks: 100, CPUs: 2, MemGB: 1 + float64(i%7)})
+	}
+	var states []partition.MachineState
+	for i := range machines {
+		states = append(states, octaMachine(protocol.TaskName("i", i), octa.Zones[i/2%2], free(i)))
+	}
+	scaler, leader := octaFleet(b, specs, states...)
+	waiting := leader.WaitingJobs(t0)
+	b.ResetTimer()
+	for b.Loop() {
+		scaler.Plan(t0, leader, waiting)
+	}
+}
--- a/autoscaler/scaleout.go
+++ b/autoscaler/scaleout.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -31,23 +30,6 @@
 	onDemandPenalty = 1e3
 )
 
-// offerCapacity is the available capacity by offer: free, requested or booting.
-type offerCapacity map[Offer]job.Resources
-
-// add adds the resources of a number of machines or tasks to an offer.
-func (c offerCapacity) add(offer Offer, each job.Resources, count int) {
-	c[offer] = c[offer].Add(times(each.ClampToZero(), count))
-}
-
-// offers lists the offers in a fixed order.
-func (c offerCapacity) offers() []Offer { return slices.SortedFunc(maps.Keys(c), compareOffers) }
-
-// times returns resources multiplied by a count.
-func times(each job.Resources, count int) job.Resources {
-	n := float64(count)
-	return job.Resources{CPUs: each.CPUs * n, Accelerators: each.Accelerators * n, MemoryGB: each.MemoryGB * n}
-}
-
 // catalogueOffer is an offer of the catalogue with its machine type and capacity.
 type catalogueOffer struct {
 	Offer
@@ -90,14 +72,14 @@
 	now       time.Time
 	scheduler *scheduler.Scheduler
 	catalogue []catalogueOffer
-	available offerCapacity         // not yet reserved for a job
+	available freeCapacity          // not yet reserved for a job
 	offers    []Offer               // keys of available, in the order in which their capacity is reserved
 	headroom  map[int]job.Resources // resources that each team may still use within its limit
 	wanted    map[Offer]int         // machines to request
 }
 
 // scaleOut returns the requests for machines that waiting jobs need beyond the available capacity.
-func (a *Autoscaler) scaleOut(now time.Time, s *scheduler.Scheduler, waiting []*scheduler.WaitingJob, available offerCapacity) []Request {
+func (a *Autoscaler) scaleOut(now time.Time, s *scheduler.Scheduler, waiting []*scheduler.WaitingJob, available freeCapacity) []Request {
 	plan := scaleOutPlan{
 		Autoscaler: a, now: now, scheduler: s, catalogue: catalogueOffers(a.Catalogue),
 		available: available, offers: available.offers(), headroom: map[int]job.Resources{}, wanted: map[Offer]int{},
@@ -147,9 +129,7 @@
 		if !offer.allows(w.Job) || !p.scheduler.ZoneAllowed(w, offer.Zone) {
 			continue
 		}
-		count := min(tasks-reserved, need.FitCount(p.available[offer]))
-		p.available[offer] = p.available[offer].Sub(times(need, count))
-		reserved += count
+		reserved += p.available.reserve(offer, need, tasks-reserved)
 	}
 	return reserved
 }
@@ -166,21 +146,13 @@
 		perMachine := need.FitCount(offer.capacity)
 		count := min((tasks+perMachine-1)/perMachine, offerBatch)
 		p.wanted[offer.Offer] += count
-		tasks -= count * perMachine
-		if tasks < 0 {
-			p.addCapacity(offer.Offer, need, -tasks)
+		tasks -= p.available.addInUse(offer.Offer, offer.capacity, count, need, tasks)
+		if !slices.Contains(p.offers, offer.Offer) {
+			p.offers = append(p.offers, offer.Offer)
 		}
 	}
 }
 
-// addCapacity adds to an offer the capacity that the wanted machines have left for more tasks.
-func (p *scaleOutPlan) addCapacity(offer Offer, perTask job.Resources, tasks int) {
-	if _, known := p.available[offer]; !known {
-		p.offers = append(p.offers, offer)
-	}
-	p.available.add(offer, perTask, tasks)
-}
-
 // cheapestOffer returns the cheapest offer for a waiting job, nil if none may be requested.
 func (p *scaleOutPlan) cheapestOffer(w *scheduler.WaitingJob, need job.Resources) *catalogueOffer {
 	var cheapest *catalogueOffer
--- a/job/resources.go
+++ b/job/resources.go
@@ -29,14 +29,15 @@
 		r.MemoryGB <= available.MemoryGB+roundingTolerance
 }
 
-// FitCount returns how many tasks that take r each fit in the available resources.
+// FitCount returns how many tasks that take r each fit in the available resources. It is at least 1 if and
+// only if FitsIn reports true, unless a component that r does not need is below 0.
 func (r Resources) FitCount(available Resources) int {
 	count := maxFitCount
 	for _, component := range []struct{ need, available float64 }{
 		{r.CPUs, available.CPUs}, {r.Accelerators, available.Accelerators}, {r.MemoryGB, available.MemoryGB},
 	} {
 		if component.need > 0 {
-			count = min(count, int(min(component.available/component.need+roundingTolerance, maxFitCount)))
+			count = min(count, int(min((component.available+roundingTolerance)/component.need, maxFitCount)))
 		}
 	}
 	return max(count, 0)
--- a/job/resources_test.go
+++ b/job/resources_test.go
@@ -33,6 +33,19 @@
 	}
 }
 
+// Guards against two answers to whether a task fits: a task that was counted as fitting by one part of the
+// service and refused by another waited for ever.
+func TestFitCountAgreesWithFitsInAtTheTolerance(t *testing.T) {
+	available := job.Resources{CPUs: 64, MemoryGB: 512}
+	for _, need := range []job.Resources{
+		{CPUs: 64}, {CPUs: 64 + 5e-7}, {CPUs: 64 + 5e-5}, {CPUs: 1, MemoryGB: 512 + 4e-4}, {CPUs: 0.002, MemoryGB: 512 + 5e-7},
+	} {
+		if fits, count := need.FitsIn(available), need.FitCount(available); fits != (count >= 1) {
+			t.Errorf("%+v: FitsIn returned %v, FitCount %d", need, fits, count)
+		}
+	}
+}
+
 func TestResourcesArithmetic(t *testing.T) {
 	a, b := job.Resources{CPUs: 1, Accelerators: 2, MemoryGB: 3}, job.Resources{CPUs: 4, Accelerators: 1, MemoryGB: 1}
 	if got := a.Add(b); got != (job.Resources{CPUs: 5, Accelerators: 3, MemoryGB: 4}) {
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -47,6 +47,12 @@
 // Schedulable reports whether a machine may be assigned tasks at all.
 func (m *Machine) Schedulable() bool { return m.Usable && !m.Evicting && !m.PreemptionNotice }
 
+// AcceptsTasksNow reports whether a machine has a place for a task that fits in FreeNow. It has none while
+// tasks are queued there for any resource, since its owner starts later tasks after those.
+func (m *Machine) AcceptsTasksNow() bool {
+	return m.Schedulable() && job.Resources{}.FitsIn(m.FreeNow)
+}
+
 // underloaded reports whether a machine has free capacity and no queue, so that owners may forward
 // tasks to it.
 func (m *Machine) underloaded() bool {
