Count places for a gang and a job in one zone only in zones open to it

A gang whose tasks must be in one zone waited for ever while two zones had half of its places each: the autoscaler counted both as room, the scheduler found no zone with all. The same for a spread gang whose places were all in one zone, and machines for a gang in one zone were requested in several zones. The scheduler itself chose the zone by the best machine for the first task, and did not try another. A gang that was just assigned still counted as waiting.

Change: a zone's room is a number (zoneRoom), used by scheduler, scale-out and scale-in alike; the plan chooses one zone for such a job; the scheduler tries each zone. Machines idle in zones closed to a job are not kept for it.

--- a/autoscaler/freecapacity.go
+++ b/autoscaler/freecapacity.go
@@ -57,6 +57,22 @@
 	}
 }
 
+// fits returns how many tasks fit on the machines of an offer, at most maximum.
+func (c freeCapacity) fits(offer Offer, need job.Resources, maximum int) int {
+	capacity := c[offer]
+	if capacity == nil || capacity.knownUnfitting(need) {
+		return 0
+	}
+	fitting := 0
+	for _, group := range capacity.groups {
+		if fitting >= maximum {
+			break
+		}
+		fitting += min(need.FitCount(group.free)*group.count, maximum)
+	}
+	return min(fitting, maximum)
+}
+
 // reserve takes the resources of up to maximum tasks from the machines of an offer, and returns for how
 // many tasks there were resources.
 func (c freeCapacity) reserve(offer Offer, need job.Resources, maximum int) int {
--- a/autoscaler/freecapacity_test.go
+++ b/autoscaler/freecapacity_test.go
@@ -1,6 +1,7 @@
 package autoscaler_test
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -107,6 +108,54 @@
 	}
 }
 
+// Guards against places in several zones that counted as room for a job whose constraints close some of
+// them: a gang found room for all its tasks in no zone, and no machine was requested.
+func TestPlacesInZonesThatAreClosedToAJobAreNoRoom(t *testing.T) {
+	empty := autoscaler.Capacity(&octa)
+	for _, c := range []struct {
+		name   string
+		spec   protocol.JobSpec
+		states []partition.MachineState
+		want   map[string]int // machines requested, by zone
+	}{
+		{
+			"a gang in one zone, with half of its places in each",
+			protocol.JobSpec{UID: "wk-1", Shape: protocol.ShapeGang, Tasks: 2, CPUs: 8, SameZone: true},
+			[]partition.MachineState{octaMachine("m1", "a", empty), octaMachine("m2", "b", empty)},
+			map[string]int{"a": 1},
+		},
+		{
+			"a spread gang, with all of its places in one zone",
+			protocol.JobSpec{UID: "wk-1", Shape: protocol.ShapeGang, Tasks: 4, CPUs: 4, SpreadZones: true},
+			[]partition.MachineState{octaMachine("m1", "b", empty), octaMachine("m2", "b", empty)},
+			map[string]int{"a": 1},
+		},
+		{
+			"a gang in one zone, without machines",
+			protocol.JobSpec{UID: "wk-1", Shape: protocol.ShapeGang, Tasks: 6, CPUs: 8, SameZone: true},
+			nil,
+			map[string]int{"a": 6},
+		},
+		{
+			"a gang in one zone that has places in another",
+			protocol.JobSpec{UID: "wk-1", Shape: protocol.ShapeGang, Tasks: 2, CPUs: 4, SameZone: true},
+			[]partition.MachineState{octaMachine("m1", "a", job.Resources{CPUs: 4, MemoryGB: 64}), octaMachine("m2", "b", empty)},
+			map[string]int{},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			scaler, leader := octaFleet(t, []protocol.JobSpec{c.spec}, c.states...)
+			got := map[string]int{}
+			for _, request := range cycleAndPlan(scaler, leader, t0).Requests {
+				got[request.Zone] += request.Count
+			}
+			if !maps.Equal(got, c.want) {
+				t.Errorf("requested machines by zone %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 // BenchmarkPlan measures a plan with full machines whose free pieces differ, and with waiting jobs that
 // fit on none of them, for lack of CPUs or because no machine has enough CPUs and memory.
 func BenchmarkPlan(b *testing.B) {
--- a/autoscaler/scalein.go
+++ b/autoscaler/scalein.go
@@ -31,7 +31,7 @@
 // isUsable reports whether any waiting job could use machines of an offer.
 func isUsable(offer Offer, capacity job.Resources, s *scheduler.Scheduler, waiting []*scheduler.WaitingJob) bool {
 	return slices.ContainsFunc(waiting, func(w *scheduler.WaitingJob) bool {
-		return offer.allows(w.Job) && w.Job.Resources().FitsIn(capacity) && s.WithinLimit(w.Job)
+		return offer.allows(w.Job) && w.Job.Resources().FitsIn(capacity) && s.WithinLimit(w.Job) && s.ZoneRoom(w, offer.Zone) > 0
 	})
 }
 
--- a/autoscaler/scaleout.go
+++ b/autoscaler/scaleout.go
@@ -85,13 +85,93 @@
 		available: available, offers: available.offers(), headroom: map[int]job.Resources{}, wanted: map[Offer]int{},
 	}
 	for _, w := range waiting {
-		tasks := plan.takeHeadroom(w)
-		tasks -= plan.reserveCapacity(w, tasks)
-		plan.addMachines(w, tasks)
+		plan.serve(w)
 	}
 	return requestsFor(plan.wanted)
 }
 
+// demand is the tasks of a waiting job that need capacity, and where they may run.
+type demand struct {
+	*scheduler.WaitingJob
+	need     job.Resources  // of each task
+	tasks    int            // without a place so far
+	zone     string         // the only zone for a job that must be in one; anyZone: not restricted
+	reserved map[string]int // places found so far, by zone
+}
+
+// anyZone stands for all zones.
+const anyZone = ""
+
+// serve reserves available capacity for a waiting job, and adds machines for the rest.
+func (p *scaleOutPlan) serve(w *scheduler.WaitingJob) {
+	d := demand{WaitingJob: w, need: w.Job.Resources(), tasks: p.takeHeadroom(w), reserved: map[string]int{}}
+	if w.Job.Spec.SameZone {
+		d.zone = p.zoneFor(&d)
+	}
+	p.reserveCapacity(&d)
+	p.addMachines(&d)
+}
+
+// zoneRoom returns how many more tasks of a job may run in a zone. Capacity in zones that are closed to
+// it is no room: otherwise replicas that must be spread would wait while machines in the
+// wrong zone are idle, and no machine would be requested.
+func (p *scaleOutPlan) zoneRoom(d *demand, zone string) int {
+	if d.zone != anyZone && d.zone != zone {
+		return 0
+	}
+	room := p.scheduler.ZoneRoom(d.WaitingJob, zone)
+	if room < math.MaxInt {
+		room -= d.reserved[zone]
+	}
+	return room
+}
+
+// zoneFor chooses the zone for a job that must be in one: the zone with the most places in which there are
+// enough, or in which machines may be requested. Without this choice, capacity in several zones
+// would count as room for a gang, which then waits in all of them.
+func (p *scaleOutPlan) zoneFor(d *demand) string {
+	zones := p.zonesByPlaces(d)
+	for _, candidate := range zones {
+		restricted := *d
+		restricted.zone = candidate.zone
+		if candidate.places >= d.tasks || p.cheapestOffer(&restricted) != nil {
+			return candidate.zone
+		}
+	}
+	if len(zones) == 0 {
+		return anyZone
+	}
+	return zones[0].zone
+}
+
+// zonePlaces is a zone with the number of a job's tasks that have a place there.
+type zonePlaces struct {
+	zone   string
+	places int
+}
+
+// zonesByPlaces lists the zones that are open to a job, those with the most places first.
+func (p *scaleOutPlan) zonesByPlaces(d *demand) (zones []zonePlaces) {
+	places := map[string]int{}
+	for i := range p.catalogue {
+		places[p.catalogue[i].Zone] = 0
+	}
+	for _, offer := range p.offers {
+		if offer.allows(d.Job) {
+			places[offer.Zone] += p.available.fits(offer, d.need, d.tasks)
+		}
+	}
+	for zone, count := range places {
+		if p.zoneRoom(d, zone) > 0 {
+			zones = append(zones, zonePlaces{zone, count})
+		}
+	}
+	slices.SortFunc(zones, func(a, b zonePlaces) int {
+		return cmp.Or(cmp.Compare(b.places, a.places), cmp.Compare(a.zone, b.zone))
+	})
+	return zones
+}
+
 // takeHeadroom returns how many tasks of a job need capacity within its team's limit, and deducts
 // them from the team's headroom. Tasks queued on full machines are included: otherwise a team at
 // its limit would get no machines for its queued tasks.
@@ -115,38 +195,37 @@
 	return remaining
 }
 
-// reserveCapacity reserves available capacity for tasks of a job and returns how many of them fit.
-func (p *scaleOutPlan) reserveCapacity(w *scheduler.WaitingJob, tasks int) int {
-	need := w.Job.Resources()
-	reserved := 0
+// reserveCapacity reserves available capacity for the tasks of a job.
+func (p *scaleOutPlan) reserveCapacity(d *demand) {
 	for _, offer := range p.offers {
-		if reserved >= tasks {
-			break
+		if d.tasks <= 0 {
+			return
 		}
-		// Capacity in a zone that may take no more tasks of the job is skipped: otherwise replicas
-		// that must be spread would wait while machines in the wrong zone are idle, and no machine
-		// would be requested.
-		if !offer.allows(w.Job) || !p.scheduler.ZoneAllowed(w, offer.Zone) {
-			continue
+		if room := p.zoneRoom(d, offer.Zone); room > 0 && offer.allows(d.Job) {
+			d.take(offer.Zone, p.available.reserve(offer, d.need, min(d.tasks, room)))
 		}
-		reserved += p.available.reserve(offer, need, tasks-reserved)
 	}
-	return reserved
+}
+
+// take records that some of the tasks have a place in a zone.
+func (d *demand) take(zone string, tasks int) {
+	d.tasks -= tasks
+	d.reserved[zone] += tasks
 }
 
 // addMachines adds machines for the tasks of a job that did not fit, a batch of the cheapest offer
-// at a time. Capacity left over on these machines is available to the next jobs.
-func (p *scaleOutPlan) addMachines(w *scheduler.WaitingJob, tasks int) {
-	need := w.Job.Resources()
-	for tasks > 0 {
-		offer := p.cheapestOffer(w, need)
+// at a time. What is left free on these machines is available to the next jobs.
+func (p *scaleOutPlan) addMachines(d *demand) {
+	for d.tasks > 0 {
+		offer := p.cheapestOffer(d)
 		if offer == nil {
 			return
 		}
-		perMachine := need.FitCount(offer.capacity)
+		tasks := min(d.tasks, p.zoneRoom(d, offer.Zone))
+		perMachine := d.need.FitCount(offer.capacity)
 		count := min((tasks+perMachine-1)/perMachine, offerBatch)
 		p.wanted[offer.Offer] += count
-		tasks -= p.available.addInUse(offer.Offer, offer.capacity, count, need, tasks)
+		d.take(offer.Zone, p.available.addInUse(offer.Offer, offer.capacity, count, d.need, tasks))
 		if !slices.Contains(p.offers, offer.Offer) {
 			p.offers = append(p.offers, offer.Offer)
 		}
@@ -154,13 +233,13 @@
 }
 
 // cheapestOffer returns the cheapest offer for a waiting job, nil if none may be requested.
-func (p *scaleOutPlan) cheapestOffer(w *scheduler.WaitingJob, need job.Resources) *catalogueOffer {
+func (p *scaleOutPlan) cheapestOffer(d *demand) *catalogueOffer {
 	var cheapest *catalogueOffer
 	lowest := math.Inf(1)
 	for i := range p.catalogue {
 		offer := &p.catalogue[i]
-		tasksPerMachine := need.FitCount(offer.capacity)
-		if tasksPerMachine == 0 || !p.mayRequest(offer, w) {
+		tasksPerMachine := d.need.FitCount(offer.capacity)
+		if tasksPerMachine == 0 || !p.mayRequest(offer, d) {
 			continue
 		}
 		if cost := offer.cost(tasksPerMachine, p.wanted[offer.Offer]); cost < lowest {
@@ -172,14 +251,14 @@
 
 // mayRequest reports whether an offer may be requested for a job now. A job that allows spot machines
 // gets on-demand ones only after OnDemandWait, and only at priority ranks up to OnDemandRank.
-func (p *scaleOutPlan) mayRequest(offer *catalogueOffer, w *scheduler.WaitingJob) bool {
-	if !offer.allows(w.Job) || !p.scheduler.ZoneAllowed(w, offer.Zone) || p.now.Before(p.requests.pausedUntil[offer.Offer]) {
+func (p *scaleOutPlan) mayRequest(offer *catalogueOffer, d *demand) bool {
+	if !offer.allows(d.Job) || p.zoneRoom(d, offer.Zone) <= 0 || p.now.Before(p.requests.pausedUntil[offer.Offer]) {
 		return false
 	}
 	if offer.Spot {
 		return offer.machineType.SpotPrice > 0
 	}
-	return !w.Job.Spec.SpotAllowed || w.PriorityRank <= p.cfg.OnDemandRank && w.Age >= p.cfg.OnDemandWait
+	return !d.Job.Spec.SpotAllowed || d.PriorityRank <= p.cfg.OnDemandRank && d.Age >= p.cfg.OnDemandWait
 }
 
 // requestsFor splits the wanted machines into requests of at most maxRequest machines.
--- a/scheduler/candidates.go
+++ b/scheduler/candidates.go
@@ -104,6 +104,16 @@
 	c.eligibleCount = len(c.machines)
 }
 
+// zones lists the zones of the machines, in the order of their first machine.
+func (c *candidates) zones() (zones []string) {
+	for _, kind := range c.kinds {
+		if !slices.Contains(zones, kind.Zone) {
+			zones = append(zones, kind.Zone)
+		}
+	}
+	return zones
+}
+
 // acceptsTasks reports whether a machine has free capacity or, in a pass that assigns to queues, space
 // in its queue.
 func (c *candidates) acceptsTasks(m *Machine) bool {
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -18,7 +18,7 @@
 	if !ps.useFreeCapacity || entry.held > 0 || p.cluster.quotas.remaining(live, ps.within) < wanted {
 		return 0
 	}
-	slots := p.reserveSlots(entry, ps)
+	slots := p.reserveGang(entry, ps, wanted)
 	if len(slots) < wanted {
 		return 0
 	}
@@ -26,12 +26,30 @@
 	for _, slot := range slots {
 		p.assignCandidate(entry, slot.machine, []int{slot.task}, p.gangs)
 	}
+	w.Tasks = entry.unassignedCount
 	return len(slots)
 }
 
-// reserveSlots finds slots for the tasks of a gang, one after the other, until there is
+// reserveGang finds slots for the tasks of a gang. For a gang that must be in one zone, each zone is tried
+// until one has slots for all: the best machine of all may be in a zone that lacks them.
+func (p *placer) reserveGang(entry *jobEntry, ps pass, wanted int) []reservedSlot {
+	if !entry.live.Spec.SameZone {
+		return p.reserveSlots(entry, ps, anyZone)
+	}
+	for _, zone := range p.candidates.zones() {
+		if slots := p.reserveSlots(entry, ps, zone); len(slots) >= wanted {
+			return slots
+		}
+	}
+	return nil
+}
+
+// anyZone stands for all zones.
+const anyZone = ""
+
+// reserveSlots finds slots in a zone for the tasks of a gang, one after the other, until there is
 // none for a task. It restores the machines and the job's entry before it returns.
-func (p *placer) reserveSlots(entry *jobEntry, ps pass) []reservedSlot {
+func (p *placer) reserveSlots(entry *jobEntry, ps pass, zone string) []reservedSlot {
 	var slots []reservedSlot
 	need := entry.live.Resources()
 	freeBefore := map[*Machine]job.Resources{}
@@ -42,7 +60,9 @@
 		if !entry.isUnassigned(i) {
 			continue
 		}
-		m, _ := p.chooseMachine(p.newScorer(entry, ps), 1)
+		scorer := p.newScorer(entry, ps)
+		scorer.zone = zone
+		m, _ := p.chooseMachine(scorer, 1)
 		if m == nil || !need.FitsIn(m.FreeNow) {
 			break
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -132,10 +132,8 @@
 	return s.cluster.quotas.allows(live, limitQuota)
 }
 
-// ZoneAllowed reports whether one more task of a waiting job may run in a zone.
-func (s *Scheduler) ZoneAllowed(waiting *WaitingJob, zone string) bool {
-	return waiting.zoneAllowed(zone)
-}
+// ZoneRoom returns how many more tasks of a waiting job may run in a zone; math.MaxInt if there is no limit.
+func (s *Scheduler) ZoneRoom(waiting *WaitingJob, zone string) int { return waiting.zoneRoom(zone) }
 
 // FleetSince returns what owners need to forward overflow: the machines that have changed since a
 // version, the ids of the machines removed since, and the current version.
--- a/scheduler/scorer.go
+++ b/scheduler/scorer.go
@@ -16,6 +16,7 @@
 	image         int32
 	fetchS        float64 // duration of a complete fetch of the image, in seconds
 	mayOverflow   bool
+	zone          string          // the only zone to consider; anyZone: all
 	avoid         string          // machine on which the next task failed last
 	unacked       map[string]bool // for a service: machines with unacknowledged assignments of replicas
 }
@@ -85,7 +86,7 @@
 
 // allows reports whether the job may run on a machine kind.
 func (c *placementScorer) allows(kind job.MachineKind) bool {
-	return job.AllowsMachine(&c.entry.live.Spec, kind) &&
+	return job.AllowsMachine(&c.entry.live.Spec, kind) && (c.zone == anyZone || c.zone == kind.Zone) &&
 		(c.mayOverflow || c.entry.zoneAllowed(kind.Zone))
 }
 
