Evict a machine only if each task that must move has a place elsewhere

Cause: eviction compared sums of free CPUs only, as scale-out did, without memory, accelerators, machine types and zones.

Change: eviction reserves places in the same freeCapacity, one machine at a time, for tasks with checkpoints and tasks that have not started, and keeps the headroom in CPUs. Tasks without checkpoints run to their end and need none. A machine whose tasks have no place is passed over, up to 32 in a plan.

Evidence: TestEvictsNoMachineWhoseTaskHasNoPlaceElsewhere failed in six of eight subtests before (evicted [wide], want none); TestEvictsOneMachineForOnePlace evicted two machines.

--- a/autoscaler/eviction.go
+++ b/autoscaler/eviction.go
@@ -10,6 +10,9 @@
 )
 
 const (
+	// maxRejectedCandidates is the number of machines whose tasks have no place elsewhere after which
+	// a plan looks no further.
+	maxRejectedCandidates = 32
 	// maxEvictingShare is the fraction of the machines, rounded down, that may be evicting at a
 	// time. At least one always may.
 	maxEvictingShare = 0.08
@@ -36,13 +39,15 @@
 type evictionSummary struct {
 	candidates []evictionCandidate
 	heldCPUs   float64
-	freeCPUs   float64 // on machines that are not being removed
-	evicting   int     // evicting machines that still hold tasks
+	freeCPUs   float64      // on machines that are not being removed
+	places     freeCapacity // on the same machines
+	evicting   int          // evicting machines that still hold tasks
 }
 
 // evictionCandidates picks machines to evict while no job waits. The remaining machines must have
-// free capacity for everything that the picked ones hold, plus the eviction headroom. Tasks with
-// checkpoints are moved; the others run to their end on the evicting machine. Machines that
+// free CPUs for everything that the picked ones hold, plus the eviction headroom, and a place for each
+// task that has to move: tasks with checkpoints are stopped and continue elsewhere, and those that have
+// not started start elsewhere. The others run to their end on the evicting machine. Machines that
 // are booting, or are idle and removed anyway, do not prevent the eviction of others: a fleet of a
 // thousand machines always has some, so otherwise nothing would ever be evicted.
 func (a *Autoscaler) evictionCandidates(now time.Time, s *scheduler.Scheduler, idle []string) []string {
@@ -50,27 +55,87 @@
 	slices.SortStableFunc(summary.candidates, func(x, y evictionCandidate) int { return cmp.Compare(x.evictionOrder(), y.evictionOrder()) })
 	limit := max(1, int(maxEvictingShare*float64(len(s.Machines())))) - summary.evicting
 	var picked []string
+	rejected := 0
 	for _, candidate := range summary.candidates {
-		if len(picked) >= limit {
+		if len(picked) >= limit || rejected >= maxRejectedCandidates {
 			break
 		}
 		// The remaining machines must take its tasks in addition to those of the machines picked before.
-		summary.freeCPUs -= max(candidate.machine.FreeNow.CPUs, 0) + candidate.heldCPUs
-		if summary.freeCPUs < a.cfg.EvictionHeadroom*summary.heldCPUs {
+		freeCPUs := summary.freeCPUs - max(candidate.machine.FreeNow.CPUs, 0) - candidate.heldCPUs
+		if freeCPUs < a.cfg.EvictionHeadroom*summary.heldCPUs {
 			break
 		}
+		places, found := placesElsewhere(s, summary.places, candidate.machine)
+		if !found {
+			rejected++
+			continue
+		}
+		summary.freeCPUs, summary.places = freeCPUs, places
 		picked = append(picked, candidate.machine.ID)
 	}
 	return picked
 }
 
+// placesElsewhere reports whether each task that has to move off a machine has a place on another one, and
+// returns the places that are left then.
+func placesElsewhere(s *scheduler.Scheduler, places freeCapacity, m *scheduler.Machine) (left freeCapacity, found bool) {
+	left = places.clone()
+	if m.AcceptsTasksNow() && !left.remove(offerOf(m), m.FreeNow) {
+		return nil, false // tasks of a machine that was picked before have their place here
+	}
+	for i := range m.Held {
+		if held := &m.Held[i]; mustMove(s, held) && !reserveElsewhere(s, left, m, held) {
+			return nil, false
+		}
+	}
+	return left, true
+}
+
+// mustMove reports whether tasks on a machine that is evicted have to run elsewhere.
+func mustMove(s *scheduler.Scheduler, held *partition.HeldTasks) bool {
+	switch held.Phase {
+	case partition.PhaseQueued, partition.PhaseStarting:
+		return true
+	case partition.PhaseRunning:
+		return s.HasCheckpoints(held.Job)
+	case partition.PhaseEnded:
+	}
+	return false
+}
+
+// reserveElsewhere reserves places for a group of held tasks of a machine, and reports whether there are
+// enough. The tasks still count in their own zone, so zone constraints restrict only the other zones.
+func reserveElsewhere(s *scheduler.Scheduler, places freeCapacity, m *scheduler.Machine, held *partition.HeldTasks) bool {
+	live := s.Job(held.Job)
+	if live == nil {
+		return true // its job has ended
+	}
+	tasks := held.Tasks.Len()
+	room := map[string]int{m.Zone: tasks}
+	for _, offer := range places.offers() {
+		if tasks <= 0 {
+			break
+		}
+		if _, known := room[offer.Zone]; !known {
+			room[offer.Zone] = s.ZoneRoomOfJob(held.Job, offer.Zone)
+		}
+		if !offer.allows(live) {
+			continue
+		}
+		reserved := places.reserve(offer, held.Resources, min(tasks, room[offer.Zone]))
+		room[offer.Zone] -= reserved
+		tasks -= reserved
+	}
+	return tasks <= 0
+}
+
 // summarizeMachines sums up the held and free CPUs, and finds the machines that may be evicted.
 func (a *Autoscaler) summarizeMachines(now time.Time, s *scheduler.Scheduler, idle []string) evictionSummary {
 	isIdle := map[string]bool{}
 	for _, id := range idle {
 		isIdle[id] = true
 	}
-	var summary evictionSummary
+	summary := evictionSummary{places: freeCapacity{}}
 	for _, m := range s.Machines() {
 		held := heldCPUs(m)
 		summary.heldCPUs += held
@@ -81,11 +146,15 @@
 			}
 		case !isIdle[m.ID]:
 			summary.freeCPUs += max(m.FreeNow.CPUs, 0)
+			if m.AcceptsTasksNow() && !a.isFaulty(m, s) {
+				summary.places.add(offerOf(m), m.FreeNow, 1)
+			}
 			if held > 0 && a.mayEvict(now, s, m) {
 				summary.candidates = append(summary.candidates, evictionCandidate{m, held})
 			}
 		}
 	}
+	summary.places.compact()
 	return summary
 }
 
--- a/autoscaler/freecapacity.go
+++ b/autoscaler/freecapacity.go
@@ -73,6 +73,27 @@
 	return min(fitting, maximum)
 }
 
+// remove removes one machine of an offer that has the given free resources, and reports whether there is
+// one: there is none if its resources are reserved.
+func (c freeCapacity) remove(offer Offer, free job.Resources) bool {
+	free = free.ClampToZero()
+	if free.CPUs < minFreeCPUs {
+		return true // it was never added
+	}
+	capacity := c[offer]
+	if capacity == nil {
+		return false
+	}
+	i := slices.IndexFunc(capacity.groups, func(g machineGroup) bool { return compareResources(g.free, free) == 0 })
+	if i < 0 {
+		return false
+	}
+	if capacity.groups[i].count--; capacity.groups[i].count == 0 {
+		capacity.groups = slices.Delete(capacity.groups, i, i+1)
+	}
+	return true
+}
+
 // reserve takes the resources of up to maximum tasks from the machines of an offer, and returns for how
 // many tasks there were resources.
 func (c freeCapacity) reserve(offer Offer, need job.Resources, maximum int) int {
@@ -94,6 +115,15 @@
 	return reserved
 }
 
+// clone returns a copy that can be changed independently.
+func (c freeCapacity) clone() freeCapacity {
+	copied := make(freeCapacity, len(c))
+	for offer, capacity := range c {
+		copied[offer] = &offerCapacity{groups: slices.Clone(capacity.groups), unfitting: slices.Clone(capacity.unfitting)}
+	}
+	return copied
+}
+
 // compact implements freeCapacity.compact for one offer.
 func (c *offerCapacity) compact() {
 	slices.SortFunc(c.groups, func(a, b machineGroup) int { return compareResources(a.free, b.free) })
--- a/autoscaler/freecapacity_test.go
+++ b/autoscaler/freecapacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -156,6 +157,79 @@
 	}
 }
 
+// held returns one task that has run for long enough to be stopped.
+func held(uid string, need job.Resources, phase partition.Phase) partition.HeldTasks {
+	return partition.HeldTasks{Job: uid, Team: "red", Resources: need, Tasks: singleTask(0), Phase: phase, PhaseS: 100}
+}
+
+// Guards against the eviction of a machine whose task fits on no other one: the service stopped it, though
+// no machine was lost, and did not start it again. The first case is the one that a review found.
+func TestEvictsNoMachineWhoseTaskHasNoPlaceElsewhere(t *testing.T) {
+	wide := job.Resources{CPUs: 4, Accelerators: 1, MemoryGB: 30}
+	free := job.Resources{CPUs: 5, Accelerators: 2, MemoryGB: 50}
+	with := func(change func(free *job.Resources)) job.Resources {
+		changed := free
+		change(&changed)
+		return changed
+	}
+	movable := protocol.JobSpec{UID: "wk-1", Tasks: 1, CPUs: 4, Accelerators: 1, MemGB: 30, CheckpointIntervalS: 10}
+	for _, c := range []struct {
+		name   string
+		change func(spec *protocol.JobSpec)
+		phase  partition.Phase
+		zone   string        // of the other machines
+		free   job.Resources // on each of them
+		want   []string
+	}{
+		{"too few CPUs on each", nil, partition.PhaseRunning, "a", with(func(f *job.Resources) { f.CPUs = 3 }), nil},
+		{"too little memory on each", nil, partition.PhaseRunning, "a", with(func(f *job.Resources) { f.MemoryGB = 20 }), nil},
+		{"no accelerator free", nil, partition.PhaseRunning, "a", with(func(f *job.Resources) { f.Accelerators = 0 }), nil},
+		{"in another zone than the job's", func(spec *protocol.JobSpec) { spec.Zone = "a" }, partition.PhaseRunning, "b", free, nil},
+		{"outside the zone of the job's other tasks", func(spec *protocol.JobSpec) { spec.SameZone = true }, partition.PhaseRunning, "b", free, nil},
+		{"of a task that has not started", func(spec *protocol.JobSpec) { spec.CheckpointIntervalS = 0 }, partition.PhaseStarting, "a", with(func(f *job.Resources) { f.CPUs = 3 }), nil},
+		{"and none is needed by a task that runs to its end", func(spec *protocol.JobSpec) { spec.CheckpointIntervalS = 0 }, partition.PhaseRunning, "a", with(func(f *job.Resources) { f.CPUs = 3 }), []string{"wide"}},
+		{"and there is one", nil, partition.PhaseRunning, "a", free, []string{"wide"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			spec := movable
+			if c.change != nil {
+				c.change(&spec)
+			}
+			service := protocol.JobSpec{UID: "wk-2", Shape: protocol.ShapeService, Tasks: 3, CPUs: 3, MemGB: 1}
+			states := []partition.MachineState{octaMachine("wide", "a", job.Resources{CPUs: 4, Accelerators: 1, MemoryGB: 34})}
+			states[0].Held = []partition.HeldTasks{held("wk-1", wide, c.phase)}
+			for _, id := range []string{"x", "y", "z"} {
+				other := octaMachine(id, c.zone, c.free)
+				other.IdleS, other.Held = -1, []partition.HeldTasks{held("wk-2", job.Resources{CPUs: 3, MemoryGB: 1}, partition.PhaseRunning)}
+				states = append(states, other)
+			}
+			for i := range states[1:] {
+				states[i+1].Held[0].Tasks = singleTask(i)
+			}
+			scaler, leader := octaFleet(t, []protocol.JobSpec{spec, service}, states...)
+			if got := cycleAndPlan(scaler, leader, t0).Evict; !slices.Equal(got, c.want) {
+				t.Errorf("evicted %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// Two machines are not evicted for the same place.
+func TestEvictsOneMachineForOnePlace(t *testing.T) {
+	need := job.Resources{CPUs: 4, MemoryGB: 1}
+	var states []partition.MachineState
+	for i := range 30 { // a fleet of which two machines may be evicted at a time
+		m := octaMachine(protocol.TaskName("m", i), "a", job.Resources{CPUs: 3, MemoryGB: 60}, held("wk-1", need, partition.PhaseRunning))
+		m.Held[0].Tasks = singleTask(i)
+		states = append(states, m)
+	}
+	states[29].Free.CPUs = 4
+	scaler, leader := octaFleet(t, []protocol.JobSpec{{UID: "wk-1", Tasks: 30, CPUs: 4, MemGB: 1, CheckpointIntervalS: 10}}, states...)
+	if got := cycleAndPlan(scaler, leader, t0).Evict; len(got) != 1 {
+		t.Errorf("evicted %v, want one machine", got)
+	}
+}
+
 // BenchmarkPlan measures a plan with full machines whose free pieces differ, and with waiting jobs that
 // fit on none of them, for lack of CPUs or because no machine has enough CPUs and memory.
 func BenchmarkPlan(b *testing.B) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -135,6 +135,9 @@
 // ZoneRoom returns how many more tasks of a waiting job may run in a zone; math.MaxInt if there is no limit.
 func (s *Scheduler) ZoneRoom(waiting *WaitingJob, zone string) int { return waiting.zoneRoom(zone) }
 
+// ZoneRoomOfJob returns how many more tasks of a live job may run in a zone; math.MaxInt if there is no limit.
+func (s *Scheduler) ZoneRoomOfJob(uid, zone string) int { return s.cluster.entry(uid).zoneRoom(zone) }
+
 // FleetSince returns what owners need to forward overflow: the machines that have changed since a
 // version, the ids of the machines removed since, and the current version.
 func (s *Scheduler) FleetSince(knownVersion uint64) (changed []partition.FleetMachine, removed []string, version uint64) {
