Count accelerators of queued tasks as headroom of their team

A team at its limit of accelerators got no machine for tasks that were queued for one: scale-out added back only the CPUs of queued tasks. It adds all their resources now.

--- a/autoscaler/freecapacity_test.go
+++ b/autoscaler/freecapacity_test.go
@@ -230,6 +230,24 @@
 	}
 }
 
+// A team at its limit of accelerators gets machines for tasks that are queued for one.
+func TestRequestsMachinesForTasksQueuedForAccelerators(t *testing.T) {
+	full := octaMachine("m", "a", job.Resources{CPUs: 4, Accelerators: -2, MemoryGB: 60})
+	full.IdleS = -1
+	need := job.Resources{CPUs: 1, Accelerators: 2, MemoryGB: 1}
+	full.Held = []partition.HeldTasks{held("wk-1", need, partition.PhaseRunning), held("wk-1", need, partition.PhaseQueued)}
+	full.Held[1].Tasks = singleTask(1)
+	scaler, leader := octaFleet(t, []protocol.JobSpec{{UID: "wk-1", Tasks: 3, CPUs: 1, Accelerators: 2, MemGB: 1}}, full)
+	leader.Teams[0].Limit.Accelerators = 4
+	requested := 0
+	for _, request := range scaler.Plan(t0, leader, leader.WaitingJobs(t0)).Requests {
+		requested += request.Count
+	}
+	if requested != 1 {
+		t.Errorf("%d machines are requested, want 1 for the queued task", requested)
+	}
+}
+
 // BenchmarkPlan measures a plan with full machines whose free pieces differ, and with waiting jobs that
 // fit on none of them, for lack of CPUs or because no machine has enough CPUs and memory.
 func BenchmarkPlan(b *testing.B) {
--- a/autoscaler/scaleout.go
+++ b/autoscaler/scaleout.go
@@ -189,9 +189,8 @@
 
 // teamHeadroom returns the team's limit less the resources of its running tasks. Memory has no limit.
 func teamHeadroom(team *scheduler.Team) job.Resources {
-	remaining := team.Limit.Sub(team.Used())
+	remaining := team.Limit.Sub(team.Used()).Add(team.Queued())
 	remaining.MemoryGB = math.Inf(1)
-	remaining.CPUs += team.QueuedCPUs()
 	return remaining
 }
 
--- a/controller/show.go
+++ b/controller/show.go
@@ -97,7 +97,7 @@
 	for i := range s.Teams {
 		team := &s.Teams[i]
 		shown.TeamCPUs[team.Name] = team.Used().CPUs
-		shown.TeamQueuedCPUs[team.Name] = team.QueuedCPUs()
+		shown.TeamQueuedCPUs[team.Name] = team.Queued().CPUs
 	}
 	for _, w := range s.WaitingJobs(now) {
 		shown.TeamWaitingTasks[w.Job.Spec.Team] += w.Tasks
--- a/internal/decisiontrace/leader_test.go
+++ b/internal/decisiontrace/leader_test.go
@@ -161,6 +161,6 @@
 		t.Held, t.Running, t.Starting, t.Queued, t.Ended, t.Waiting, t.FreeCPUs, l.scheduler.UnackedCount())
 	for i := range l.scheduler.Teams {
 		team := &l.scheduler.Teams[i]
-		h.trace.addText("team %s: uses %v, queues %v, runs %v", team.Name, t.Teams[i].Used, team.QueuedCPUs(), t.Teams[i].Running)
+		h.trace.addText("team %s: uses %v, queues %v, runs %v", team.Name, t.Teams[i].Used, team.Queued().CPUs, t.Teams[i].Running)
 	}
 }
--- a/scheduler/quota.go
+++ b/scheduler/quota.go
@@ -7,19 +7,19 @@
 
 // Team is a team from the settings, with the resources that its jobs hold.
 type Team struct {
-	Name       string
-	Guarantee  job.Resources
-	Limit      job.Resources
-	Weight     float64 // of the team when capacity is shared; 0: the CPUs of the guarantee are the weight
-	used       job.Resources
-	queuedCPUs float64
+	Name      string
+	Guarantee job.Resources
+	Limit     job.Resources
+	Weight    float64 // of the team when capacity is shared; 0: the CPUs of the guarantee are the weight
+	used      job.Resources
+	queued    job.Resources
 }
 
 // Used returns the resources that the team's tasks hold, including tasks queued on machines.
 func (t *Team) Used() job.Resources { return t.used }
 
-// QueuedCPUs returns the CPUs of the team's tasks that are queued on machines.
-func (t *Team) QueuedCPUs() float64 { return t.queuedCPUs }
+// Queued returns the resources of the team's tasks that are queued on machines.
+func (t *Team) Queued() job.Resources { return t.queued }
 
 // shareUsed returns the team's used CPUs divided by its weight: the team with the lowest value is
 // served next.
@@ -80,7 +80,7 @@
 	tasks := held.Tasks.Len()
 	q.teams[i].hold(held.Resources, tasks)
 	if held.Phase == partition.PhaseQueued {
-		q.teams[i].queuedCPUs += float64(tasks) * held.Resources.CPUs
+		q.teams[i].queued = q.teams[i].queued.Add(multiplyResources(held.Resources, tasks))
 	}
 }
 
@@ -93,7 +93,7 @@
 	tasks := held.Tasks.Len()
 	q.teams[i].release(held.Resources, tasks)
 	if held.Phase == partition.PhaseQueued {
-		q.teams[i].queuedCPUs -= float64(tasks) * held.Resources.CPUs
+		q.teams[i].queued = q.teams[i].queued.Sub(multiplyResources(held.Resources, tasks))
 	}
 }
 
--- a/scheduler/quota_test.go
+++ b/scheduler/quota_test.go
@@ -33,12 +33,12 @@
 			t.Errorf("phase %v: wrong result of allows, want %v within the guarantee and %v within the limit", c.phase, c.withinGuarantee, c.withinLimit)
 		}
 		red := &q.teams[0]
-		if red.Used().CPUs != c.used || red.QueuedCPUs() != c.queuedCPUs {
-			t.Errorf("phase %v: %v CPUs are used, %v of them queued, want %v and %v", c.phase, red.Used().CPUs, red.QueuedCPUs(), c.used, c.queuedCPUs)
+		if red.Used().CPUs != c.used || red.Queued().CPUs != c.queuedCPUs {
+			t.Errorf("phase %v: %v CPUs are used, %v of them queued, want %v and %v", c.phase, red.Used().CPUs, red.Queued().CPUs, c.used, c.queuedCPUs)
 		}
 		q.release(held)
-		if red.Used() != (job.Resources{}) || red.QueuedCPUs() != 0 {
-			t.Errorf("phase %v: after the release %v are used and %v CPUs queued, want none", c.phase, red.Used(), red.QueuedCPUs())
+		if red.Used() != (job.Resources{}) || red.Queued() != (job.Resources{}) {
+			t.Errorf("phase %v: after the release %v are used and %v queued, want none", c.phase, red.Used(), red.Queued())
 		}
 	}
 }
