End a task's reservation on a machine where it will not start

The task was pre-committed on a full machine; the replicas of a service, whose spot machine the cloud took back, overtook it there and keep the machine for good.

Cause: a pre-committed placement had no end but its start, or another machine that its owner may move it to, which for jobs with zone constraints and gangs none is. Queued tasks did end after twice the local wait. The leader made it worse: it queued tasks on machines whose replicas leave too little for them.

Change: partition/reservation.go. A queued or pre-committed task returns to the leader when replicas leave it too little of the machine, and a pre-committed one when fewer tasks have not come to be ahead of it for twice the local wait. The second clock starts anew with each task ahead that ends, so a wide task keeps its place on a machine that empties for it. It holds for arrays, jobs with zone constraints, gangs and services alike. The leader queues tasks only where they fit beside the replicas. "returned" in "placement metrics" counts them.

--- a/controller/metricslog.go
+++ b/controller/metricslog.go
@@ -64,7 +64,7 @@
 	n := p.Counts
 	l.log.Info("placement metrics", "view", p.View(),
 		"queued", n.Queued, "overflowed", n.Overflowed, "forwarded", n.Forwarded,
-		"fallback_beyond_buddies", n.FallbackBeyondBuddies, "pre_committed", n.PreCommitted,
+		"fallback_beyond_buddies", n.FallbackBeyondBuddies, "pre_committed", n.PreCommitted, "returned", n.Returned,
 		"started", n.Started, "done", n.Done, "lost", n.Lost, "stopped", n.Stopped, "unreachable", n.Unreachable)
 }
 
--- a/partition/metrics.go
+++ b/partition/metrics.go
@@ -20,6 +20,7 @@
 	Forwarded             uint64 `msgpack:"SentOn"`
 	FallbackBeyondBuddies uint64 `msgpack:"WalkedOn"`
 	PreCommitted          uint64 `msgpack:"CommittedAhead"`
+	Returned              uint64 `msgpack:"Returned"` // tasks whose reservation ended, see reservations
 	Started               uint64 `msgpack:"Started"`
 	Done                  uint64 `msgpack:"Done"`
 	Lost                  uint64 `msgpack:"Lost"`
--- a/partition/overflow.go
+++ b/partition/overflow.go
@@ -76,7 +76,7 @@
 	switch {
 	case sent && waited < o.cfg.LocalWait:
 		o.Counts.Overflowed++
-	case sent, waited >= 2*o.cfg.LocalWait:
+	case sent, waited >= o.cfg.returnAfter():
 		o.Counts.FallbackBeyondBuddies++
 	default:
 		return false
--- a/partition/partition.go
+++ b/partition/partition.go
@@ -10,6 +10,7 @@
 //	machine.go       a single machine; freeresources.go computes its free resources
 //	placement.go     a placement and its states; review.go ends and stops placements
 //	queue.go         assignments and the machines' queues
+//	reservation.go   returns tasks to the leader that would not start on their machine
 //	overflow.go      moves queued tasks off overloaded machines; fleet.go has the preferred lists
 //	heartbeat.go     applies heartbeats; commands.go computes the replies
 //	layout.go        the shard records, and the assignment of placements to them
@@ -48,6 +49,9 @@
 	MaxMachines int                              // memory limit on the number of machines; 0: unlimited
 }
 
+// returnAfter returns how long a task waits on a machine in vain before it returns to the leader.
+func (c *Config) returnAfter() time.Duration { return 2 * c.LocalWait }
+
 // CapacityOf returns the resources of a machine type, and false if the type is unknown.
 type CapacityOf func(machineType string) (job.Resources, bool)
 
@@ -57,6 +61,7 @@
 
 	queues        *queues
 	review        *placementReview
+	reservations  *reservations
 	lifecycle     *machineLifecycle
 	overflow      *overflow
 	heartbeats    *heartbeats
@@ -94,6 +99,7 @@
 		shared:        s,
 		queues:        &queues{shared: s, attempts: attempts},
 		review:        &placementReview{shared: s},
+		reservations:  &reservations{shared: s},
 		lifecycle:     &machineLifecycle{shared: s, viewSeenAt: seen},
 		overflow:      &overflow{shared: s, fleet: newFleetDirectory()},
 		heartbeats:    &heartbeats{shared: s},
@@ -172,10 +178,11 @@
 }
 
 // Tick performs the periodic work of all machines: it expires leases, drops obsolete tasks from
-// queues, moves overflow, and creates placements for queued tasks.
+// queues, ends reservations that will not be kept, moves overflow, and creates placements for queued tasks.
 func (p *Partition) Tick(now time.Time) {
 	for _, m := range p.machines.sorted {
 		p.tickMachine(now, m)
+		p.reservations.review(now, m)
 	}
 	p.overflow.move(now)
 	if p.cacheFresh(now) {
--- a/partition/placement.go
+++ b/partition/placement.go
@@ -41,6 +41,7 @@
 	since         time.Time           // when the status last changed
 	runS          float64             // run time in seconds, as observed from heartbeats
 	graceS        float64
+	reservation   reservation
 	timestamps    replicaTimestamps
 }
 
@@ -62,6 +63,7 @@
 	outcomeFailed                   // the agent reported that it ended without completing
 	outcomeCompleted                // the agent reported that it completed
 	outcomeReleased                 // never started; it returns to its machine's queue
+	outcomeReturned                 // never started; it returns to the leader, see reservations
 )
 
 // isPending reports whether a placement waits for its start.
--- a/scheduler/cycle.go
+++ b/scheduler/cycle.go
@@ -58,11 +58,29 @@
 // many tasks may be queued there: as many as are expected to start within PreCommitWindow.
 func (s *Scheduler) estimateReleases(now time.Time) {
 	for _, m := range s.Machines() {
+		m.attainable = s.attainable(m)
 		m.releaseRate = s.releaseRate(m, now)
 		m.maxQueued = min(s.cfg.MaxQueuedPerMachine, int(m.releaseRate*s.cfg.PreCommitWindow.Seconds()+0.5))
 	}
 }
 
+// attainable returns the resources of a machine that tasks queued there may expect to become free: all but
+// those of the replicas that it holds or is assigned, which run until they are cancelled.
+func (s *Scheduler) attainable(m *Machine) job.Resources {
+	attainable := m.Capacity
+	for i := range m.Held {
+		if held := &m.Held[i]; held.Phase != partition.PhaseEnded && !held.Stopping && s.IsService(held.Job) {
+			attainable = attainable.Sub(multiplyResources(held.Resources, held.Tasks.Len()))
+		}
+	}
+	for i := range m.unacked {
+		if s.IsService(m.unacked[i].Job) {
+			attainable = attainable.Sub(multiplyResources(m.unacked[i].resources, m.unacked[i].count))
+		}
+	}
+	return attainable
+}
+
 // releaseRate estimates how many slots of a machine become free per second.
 func (s *Scheduler) releaseRate(m *Machine, now time.Time) float64 {
 	rate := 0.0
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -27,9 +27,10 @@
 	unacked      []Assignment // assignments that its owner has not acknowledged
 	unackedTasks int
 
-	releaseRate float64 // slots expected to become free per second; set in each cycle
-	maxQueued   int     // maximum number of tasks queued on the machine; set in each cycle
-	ineligible  bool    // it accepts no more tasks in this pass
+	attainable  job.Resources // capacity less that of replicas, which do not end; set in each cycle
+	releaseRate float64       // slots expected to become free per second; set in each cycle
+	maxQueued   int           // maximum number of tasks queued on the machine; set in each cycle
+	ineligible  bool          // it accepts no more tasks in this pass
 }
 
 // IdleSeconds returns for how many seconds a machine has held no tasks; idle is false if it holds
--- a/scheduler/scorer.go
+++ b/scheduler/scorer.go
@@ -75,10 +75,14 @@
 	return score, true
 }
 
-// accepts reports whether a machine has the capacity that the pass requires and the job may run
-// there.
+// accepts reports whether a machine has a place for the task, now or, in a pass that assigns to queues, once
+// other tasks have ended, and the job may run there.
 func (c *placementScorer) accepts(m *Machine) bool {
-	if c.avoid == m.ID || !c.need.FitsIn(m.Capacity) || c.pass.useFreeCapacity && !c.need.FitsIn(m.FreeNow) {
+	available := m.attainable
+	if c.pass.useFreeCapacity {
+		available = m.FreeNow
+	}
+	if c.avoid == m.ID || !c.need.FitsIn(available) {
 		return false
 	}
 	return c.allows(m.kind())
