Queue no tasks behind overdue ones, so that machines are requested

Change: a task that has run for more than twice its estimate is expected to free no slot. Estimates are learnt by class, so this ends with the first completions.

Evidence: TestTasksBehindOverdueTasksGetMachines timed out before (120 s of simulated time and more) and passes; the subtest "behind an overdue task" of TestTaskIsQueuedOnlyWhereItIsExpectedToStart failed before.

--- a/controller/clusterrequests_test.go
+++ b/controller/clusterrequests_test.go
@@ -171,8 +171,8 @@
 }
 
 // longJobBody returns a submission that states the tasks' real run time as the expected one. With the 5 s of
-// jobBody, tasks of five minutes would run sixty times as long as expected: they would queue on full
-// machines, and the fleet would not be scaled out.
+// jobBody, tasks of five minutes would run sixty times as long as expected, and the fleet would be scaled
+// out for those that queue behind them only once they are overdue.
 func longJobBody(uid, team string, tasks int, runTime time.Duration) map[string]any {
 	body := jobBody(uid, team, tasks)
 	body["expected_s"] = runTime.Seconds()
--- a/controller/placelesstasks_test.go
+++ b/controller/placelesstasks_test.go
@@ -98,3 +98,18 @@
 		})
 	}
 }
+
+// Guards against tasks that queue for minutes behind tasks that run much longer than expected, while machines
+// could be had: they counted as assigned.
+func TestTasksBehindOverdueTasksGetMachines(t *testing.T) {
+	runScenario(t, func(_ *testing.T, cluster *simulatedCluster) {
+		cluster.setCapacity(5)
+		cluster.runTimes(map[string]time.Duration{"wk-1": 10 * time.Minute})
+		cluster.submit(jobBody("wk-1", "blue", 20)) // its team's limit, on full machines; expected for 5 s
+		cluster.awaitRunningTasks("before the others", 20, 40*time.Second)
+		cluster.submit(jobBody("wk-2", "red", 6))
+		time.Sleep(5 * time.Second)
+		cluster.setCapacity(8)
+		cluster.checkDone(90*time.Second, "wk-2")
+	})
+}
--- a/scheduler/cycle.go
+++ b/scheduler/cycle.go
@@ -81,7 +81,12 @@
 	return attainable
 }
 
-// releaseRate estimates how many slots of a machine become free per second.
+// overdueFactor: a task that has run for longer than its estimate multiplied by this is overdue.
+const overdueFactor = 2
+
+// releaseRate estimates how many slots of a machine become free per second. The estimate says nothing of
+// when an overdue task ends, so none of them is expected to: otherwise tasks would be queued behind
+// them, where they count as assigned, and no machine would be requested.
 func (s *Scheduler) releaseRate(m *Machine, now time.Time) float64 {
 	rate := 0.0
 	for i := range m.Held {
@@ -93,7 +98,11 @@
 		estimate := s.estimates.estimate(live)
 		left := estimate
 		if held.Phase == partition.PhaseRunning {
-			left = max(estimate-held.PhaseS-now.Sub(m.lastSeen).Seconds(), estimate/2)
+			ran := held.PhaseS + now.Sub(m.lastSeen).Seconds()
+			if ran > overdueFactor*estimate {
+				continue
+			}
+			left = max(estimate-ran, estimate/2)
 		}
 		rate += float64(held.Tasks.Len()) / left
 	}
--- a/scheduler/queueplace_test.go
+++ b/scheduler/queueplace_test.go
@@ -25,6 +25,7 @@
 		queued  bool
 	}{
 		{"behind a task that ends", []partition.HeldTasks{short(4, 5)}, false, true},
+		{"behind an overdue task", []partition.HeldTasks{short(4, 21)}, false, false},
 		{"beside a replica", []partition.HeldTasks{short(2, 5), replica(partition.PhaseRunning, false)}, false, false},
 		{"beside a replica that waits there", []partition.HeldTasks{short(4, 5), replica(partition.PhaseQueued, false)}, false, false},
 		{"beside a replica that is being stopped", []partition.HeldTasks{short(2, 5), replica(partition.PhaseRunning, true)}, false, true},
