Preempt only where a task then has room, and what is freed goes to its job

Tasks were stopped in vain, in three ways. The CPUs that preempted tasks had yet to release were summed over all machines and counted as room for any task, so nothing was preempted for a task that fits on none of those machines. What was free on a machine counted again for each task of a job. And among jobs without a target the order of service ignores the priority, but the preemptor did not: tasks of an earlier best_effort job were stopped for a later normal one, and what they freed went to them again; the review saw one task started eight times and stopped seven times in 27 s.

Change: what becomes free is kept for each machine (preemptroom.go), and a task is no victim for its lower priority if its job is served first once it waits. Services and guarantees are as before.

Evidence: TestPreemptsOnlyWhereTheFreedCapacityFits (2 tasks preempted, want 1), TestPiecesToBecomeFreeOnSeveralMachinesAreNoRoomForOneTask (one on each of four machines, want four on one as well) and TestPreemptsNoTaskWhoseJobIsServedBefore (1 preempted, want 0) failed before.

--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -35,6 +34,7 @@
 	estimates  *runTimeEstimator
 	quarantine *quarantine
 	placer     *placer
+	waiting    *waitingQueue
 	counts     *Counts
 	preempted  map[job.Task]time.Time // when a task was preempted; kept until no machine holds the task
 }
@@ -79,27 +79,18 @@
 	return holders
 }
 
-// victim is a running task that may be stopped.
-type victim struct {
-	task      job.Task
-	live      *job.CachedJob
-	resources job.Resources
-	cost      float64 // CPU seconds of work that would be lost
-	lossS     float64 // run time that would be lost, in seconds
-	preempted bool    // preempted in this cycle
-}
-
 // preemptionCycle is the state of the preemptor during one cycle.
 type preemptionCycle struct {
 	*preemptor
 	now             time.Time
-	pendingCPUs     float64                // CPUs that preempted tasks have yet to release
+	rooms           roomsAfterPreemption
 	releaseRateCPUs float64                // CPUs per second that tasks are expected to release as they end
 	borrowedCPUs    []float64              // by team: CPUs used beyond its guarantee
 	victims         map[*Machine][]*victim // nil until first needed
 	waitingCPUs     float64                // CPUs that the unassigned tasks of the jobs considered so far need
 	preemptedCount  int
-	unsatisfiable   map[demand]bool // demands for which no victims were found in this cycle
+	unsatisfiable   map[demand]bool                // demands for which no victims were found in this cycle
+	order           map[*job.CachedJob]*WaitingJob // jobs of victims, with their place in the order of service
 }
 
 // demand is everything that a search for victims depends on, for jobs without zone constraints. A
@@ -131,11 +122,11 @@
 	}
 }
 
-// newCycle computes the CPUs that will become free without further preemption, and those that each
-// team borrows.
+// newCycle computes what will become free without further preemption, and the CPUs that each team borrows.
 func (p *preemptor) newCycle(now time.Time) *preemptionCycle {
-	cycle := &preemptionCycle{preemptor: p, now: now, unsatisfiable: map[demand]bool{}}
-	cycle.pendingCPUs = p.dropStopped()
+	cycle := &preemptionCycle{
+		preemptor: p, now: now, unsatisfiable: map[demand]bool{}, rooms: p.dropStopped(), order: map[*job.CachedJob]*WaitingJob{},
+	}
 	for _, entry := range p.cluster.entries {
 		if entry.live != nil && !entry.live.IsService() {
 			cycle.releaseRateCPUs += float64(entry.running) * entry.live.Spec.CPUs / p.estimates.estimate(entry.live)
@@ -148,21 +139,6 @@
 	return cycle
 }
 
-// dropStopped removes the preempted tasks that no machine holds any more, and returns the CPUs that
-// the remaining ones will release.
-func (p *preemptor) dropStopped() float64 {
-	pending := 0.0
-	holders := p.preemptedHolders()
-	for task := range p.preempted {
-		if h, held := holders[task]; held {
-			pending += h.held.Resources.CPUs
-		} else {
-			delete(p.preempted, task)
-		}
-	}
-	return pending
-}
-
 // mayPreemptFor reports whether tasks may be stopped for a job now. Replicas wait only for
 // servicePreemptAfter, since they serve as soon as they run, and capacity that becomes free by
 // itself goes first to the tasks queued on the machine. For other jobs no task is stopped if
@@ -194,8 +170,7 @@
 	}
 	pj := preemptingJob{WaitingJob: w, need: w.Job.Resources(), withinGuarantee: c.cluster.quotas.allows(w.Job, guaranteeQuota)}
 	for range min(w.Tasks, maxJobPreemptions) {
-		if c.pendingCPUs >= pj.need.CPUs && !w.Job.IsService() {
-			c.pendingCPUs -= pj.need.CPUs
+		if c.takeRoom(&pj) {
 			continue
 		}
 		if !c.preemptForTask(&pj) {
@@ -220,8 +195,13 @@
 	if pj.Job.IsService() && !c.assignReplica(pj.WaitingJob, m) {
 		return false
 	}
+	room := c.roomOn(m, pj)
 	for _, v := range victims {
 		c.preempt(v)
+		room = room.Add(v.resources)
+	}
+	if !pj.Job.IsService() {
+		c.rooms.set(m, room.Sub(pj.need))
 	}
 	return true
 }
@@ -261,114 +241,3 @@
 	c.placer.assign(w.entry, m, tasks, noGang)
 	return true
 }
-
-// findVictims returns the tasks that may be stopped on each machine, the cheapest first.
-func (p *preemptor) findVictims(now time.Time) map[*Machine][]*victim {
-	byMachine := map[*Machine][]*victim{}
-	for _, m := range p.cluster.machines.byID {
-		if !m.Schedulable() || p.quarantine.machines[m.ID] {
-			continue
-		}
-		var victims []*victim
-		for i := range m.Held {
-			victims = append(victims, p.victimsOf(m, &m.Held[i], now)...)
-		}
-		if len(victims) == 0 {
-			continue
-		}
-		slices.SortFunc(victims, func(a, b *victim) int {
-			return cmp.Or(cmp.Compare(a.cost, b.cost), a.task.Compare(b.task))
-		})
-		byMachine[m] = victims
-	}
-	return byMachine
-}
-
-// victimsOf returns the tasks of a group of held tasks that may be stopped. Tasks that would lose
-// too much run time are left out: they are expected to end before the loss is recovered.
-func (p *preemptor) victimsOf(m *Machine, held *partition.HeldTasks, now time.Time) []*victim {
-	live := p.cluster.jobs.Get(held.Job)
-	if live == nil || live.Team < 0 || held.Phase != partition.PhaseRunning || held.Stopping || live.IsService() {
-		return nil
-	}
-	ranS := held.PhaseS + now.Sub(m.lastSeen).Seconds()
-	lossS := ranS
-	if live.Spec.CheckpointIntervalS > 0 {
-		lossS = live.Spec.CheckpointDurationS
-	}
-	if lossS > max(p.cfg.MaxPreemptionLoss.Seconds(), maxServicePreemptionLossS) {
-		return nil
-	}
-	cost := lossS * held.Resources.CPUs
-	if ranS < p.cfg.MinRunBeforeStop.Seconds() {
-		// A task that is stopped this early does not count as started.
-		cost += p.cfg.MinRunBeforeStop.Seconds() * held.Resources.CPUs
-	}
-	var victims []*victim
-	for i := range held.Tasks.All() {
-		task := job.Task{Job: held.Job, Index: i}
-		if _, stopping := p.preempted[task]; !stopping {
-			victims = append(victims, &victim{task: task, live: live, resources: held.Resources, cost: cost, lossS: lossS})
-		}
-	}
-	return victims
-}
-
-// cheapestVictims returns the machine on which capacity for a task can be freed at the least cost,
-// and the tasks to stop there, or nil if there is none.
-func (c *preemptionCycle) cheapestVictims(pj *preemptingJob) (best *Machine, victims []*victim) {
-	var bestCost float64
-	var unacked map[string]bool
-	if pj.Job.IsService() {
-		unacked = c.cluster.unackedMachines(pj.Job.Spec.UID)
-	}
-	for _, m := range c.cluster.machines.all() {
-		if c.victims[m] == nil || !pj.mayUse(m) {
-			continue
-		}
-		chosen, cost := c.victimsOn(m, pj)
-		if pj.Job.IsService() && (unacked[m.ID] || m.holds(pj.Job.Spec.UID)) {
-			cost += maxServicePreemptionLossS * pj.need.CPUs // prefer machines without a replica of the service
-		}
-		if len(chosen) > 0 && (best == nil || cost < bestCost) {
-			best, victims, bestCost = m, chosen, cost
-		}
-	}
-	return best, victims
-}
-
-// mayUse reports whether the job's tasks could run on a machine if it were empty.
-func (pj *preemptingJob) mayUse(m *Machine) bool {
-	return pj.need.FitsIn(m.Capacity) && job.AllowsMachine(&pj.Job.Spec, m.kind()) && pj.zoneAllowed(m.Zone)
-}
-
-// victimsOn chooses the tasks to stop on a machine so that one task of a job can run there, beginning
-// with the cheapest, and returns them and the sum of their costs. It returns none if stopping all
-// that may be stopped would not free enough.
-func (c *preemptionCycle) victimsOn(m *Machine, pj *preemptingJob) (chosen []*victim, cost float64) {
-	available := m.FreeNow.ClampToZero()
-	for _, v := range c.victims[m] {
-		if pj.need.FitsIn(available) {
-			break
-		}
-		if c.mayStop(v, pj) {
-			available = available.Add(v.resources)
-			cost += v.cost
-			chosen = append(chosen, v)
-		}
-	}
-	if !pj.need.FitsIn(available) {
-		return nil, 0
-	}
-	return chosen, cost
-}
-
-// mayStop reports whether a task may be stopped for a job: the task is of a lower priority, or its team
-// exceeds its guarantee while the job is within the guarantee of the job's team.
-func (c *preemptionCycle) mayStop(v *victim, pj *preemptingJob) bool {
-	reclaimable := pj.withinGuarantee && v.live.Team != pj.Team && c.borrowedCPUs[v.live.Team] >= v.resources.CPUs
-	if v.preempted || v.live.Rank <= pj.Job.Rank && !reclaimable {
-		return false
-	}
-	return pj.Job.IsService() || v.lossS <= c.cfg.MaxPreemptionLoss.Seconds()
-}
--- a/scheduler/preempt_test.go
+++ b/scheduler/preempt_test.go
@@ -130,3 +130,82 @@
 		}
 	}
 }
+
+// preemptions returns how many tasks are preempted in a cycle for a job that has waited long enough. The
+// machines run tasks of wk-low with one CPU each, and have some CPUs free. The cheapest task of each
+// machine is cheaper than the second of any.
+func preemptions(t *testing.T, free float64, waiting protocol.JobSpec, states ...partition.MachineState) (*Scheduler, int) {
+	t.Helper()
+	cfg := testConfig
+	cfg.MaxQueuedPerMachine, cfg.PreemptAfter, cfg.MaxPreemptionLoss = 0, 4*time.Second, time.Minute
+	low := protocol.JobSpec{UID: "wk-low", Team: "blue", CPUs: 1, Priority: "best_effort", ExpectedS: 6000}
+	for i := range states {
+		states[i].Free.CPUs = free
+		for k := range 4 - int(free) {
+			states[i].Held = append(states[i].Held, partition.HeldTasks{Job: "wk-low", Team: "blue", Resources: job.Resources{CPUs: 1}, Tasks: tasks(low.Tasks), Phase: partition.PhaseRunning, PhaseS: float64(20 + 8*k)})
+			low.Tasks++
+		}
+	}
+	sched := New(cfg, []Team{{Name: "red"}, {Name: "blue", Limit: job.Resources{CPUs: 100}}}, 1, capacityOf, jobCache(waiting, low))
+	sched.ApplyUpdate(0, firstUpdate(states...), t0)
+	sched.RunCycle(t0.Add(5 * time.Second))
+	return sched, len(sched.Preemptions(0))
+}
+
+// Guards against free CPUs of one machine that count for several tasks: tasks were stopped there for two, and
+// only one had room.
+func TestPreemptsOnlyWhereTheFreedCapacityFits(t *testing.T) {
+	wide := protocol.JobSpec{UID: "wk-1", Team: "blue", CPUs: 3, Tasks: 2, Priority: "urgent", ExpectedS: 60}
+	if _, got := preemptions(t, 2, wide, machine("a")); got != 1 {
+		t.Errorf("%d tasks are preempted, want 1 for the only task that fits", got)
+	}
+}
+
+// Guards against pieces that become free on several machines and count as room for a task that fits on none
+// of them: nothing was preempted for it until they were free.
+func TestPiecesToBecomeFreeOnSeveralMachinesAreNoRoomForOneTask(t *testing.T) {
+	small := protocol.JobSpec{UID: "wk-1", Team: "blue", CPUs: 1, Tasks: 4, Priority: "urgent", ExpectedS: 60}
+	sched, got := preemptions(t, 0, small, machine("a"), machine("b"), machine("c"), machine("d"))
+	if got != 4 {
+		t.Fatalf("%d tasks are preempted, want 4", got)
+	}
+	sched.cluster.jobs.Remove("wk-1", t0)
+	wide := protocol.JobSpec{UID: "wk-2", Team: "blue", CPUs: 4, Tasks: 1, Priority: "urgent", ExpectedS: 60}
+	if err := sched.cluster.jobs.Set(wide.UID, job.Record{Spec: wide, SubmittedMS: t0.UnixMilli()}, 2, t0); err != nil {
+		t.Fatal(err)
+	}
+	sched.RunCycle(t0.Add(6 * time.Second))
+	byMachine := map[int]int{}
+	for _, task := range sched.Preemptions(0) {
+		byMachine[task.Index/4]++
+	}
+	if len(byMachine) != 4 || byMachine[0] != 4 {
+		t.Errorf("preempted tasks by machine %v, want one on each and all four of the first", byMachine)
+	}
+}
+
+// Guards against tasks that are stopped and started again in turns: what was freed went to their own job again,
+// since it is served before the job for which they were stopped.
+func TestPreemptsNoTaskWhoseJobIsServedBefore(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		expectedS float64 // of the waiting job; jobs with longer tasks are served first
+		deadlineS float64
+		want      int
+	}{{"served after the victim's job", 60, 0, 0}, {"served before by its longer tasks", 300, 0, 1}, {"served before by its deadline", 60, 600, 1}} {
+		waiting := protocol.JobSpec{UID: "wk-1", Team: "blue", CPUs: 1, Tasks: 1, Priority: "normal", ExpectedS: c.expectedS, DeadlineS: c.deadlineS}
+		cfg := testConfig
+		cfg.MaxQueuedPerMachine, cfg.PreemptAfter, cfg.MaxPreemptionLoss = 0, 4*time.Second, time.Minute
+		full := machine("a")
+		full.Free.CPUs = 0
+		full.Held = []partition.HeldTasks{{Job: "wk-low", Team: "blue", Resources: job.Resources{CPUs: 1}, Tasks: tasks(0, 1, 2, 3), Phase: partition.PhaseRunning, PhaseS: 35}}
+		low := protocol.JobSpec{UID: "wk-low", Team: "blue", CPUs: 1, Tasks: 4, Priority: "best_effort", ExpectedS: 200}
+		guaranteed := []Team{{Name: "red"}, {Name: "blue", Guarantee: job.Resources{CPUs: 100}, Limit: job.Resources{CPUs: 100}}}
+		sched := New(cfg, guaranteed, 1, capacityOf, jobCache(waiting, low))
+		sched.ApplyUpdate(0, firstUpdate(full), t0)
+		sched.RunCycle(t0.Add(5 * time.Second))
+		if got := len(sched.Preemptions(0)); got != c.want {
+			t.Errorf("%s: %d tasks are preempted, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -73,7 +73,7 @@
 	s.placer = newPlacer(s.cfg, s.cluster, s.quarantine, s.Limits, &s.Counts)
 	s.preemptor = preemptor{
 		cfg: s.cfg, cluster: s.cluster, estimates: s.estimates, quarantine: s.quarantine, placer: s.placer,
-		counts: &s.Counts, preempted: map[job.Task]time.Time{},
+		waiting: &s.waiting, counts: &s.Counts, preempted: map[job.Task]time.Time{},
 	}
 	s.compaction = compactionPlanner{cfg: s.cfg, cluster: s.cluster}
 	return s
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -140,14 +140,19 @@
 func (q *waitingQueue) setFirstTargets(waiting []*WaitingJob, now time.Time) map[*WaitingJob][]time.Time {
 	targets := make(map[*WaitingJob][]time.Time, len(waiting))
 	for _, w := range waiting {
-		jobTargets := q.targetsOf(w, now)
-		targets[w] = jobTargets
-		if len(jobTargets) > 0 {
-			w.setTarget(jobTargets[0])
-			continue
-		}
-		w.deferJob()
-		w.PastDeadline = len(q.cfg.Targets[w.Job.Spec.Class]) > 0 || w.Job.Spec.DeadlineS > 0
+		targets[w] = q.setFirstTarget(w, now)
 	}
 	return targets
 }
+
+// setFirstTarget sets a job's nearest target, or defers it if it can meet none, and returns its targets.
+func (q *waitingQueue) setFirstTarget(w *WaitingJob, now time.Time) []time.Time {
+	targets := q.targetsOf(w, now)
+	if len(targets) > 0 {
+		w.setTarget(targets[0])
+		return targets
+	}
+	w.deferJob()
+	w.PastDeadline = len(q.cfg.Targets[w.Job.Spec.Class]) > 0 || w.Job.Spec.DeadlineS > 0
+	return nil
+}
