Say in the log and in `show` why waiting tasks have no place

Each plan now records for each waiting job how many tasks exceed the team's limit, have a place, have machines requested, or fit on no machine, and what is in the way. "scheduler metrics" has the sums (waiting_for), `show` the jobs (job_waits, the first 100), and "tasks fit on no machine" names a job once this has lasted 30 s.

--- a/autoscaler/autoscaler.go
+++ b/autoscaler/autoscaler.go
@@ -4,7 +4,7 @@
 //
 // machines.go tracks the machines that the cloud has started, and offers.go the pending requests.
 // freecapacity.go tells where tasks have a place: on which single machines. scaleout.go decides what to
-// request, scalein.go which idle machines to remove, and eviction.go which machines to drain so that
+// request for the tasks that have none (demand.go, catalogueoffer.go), waits.go says why tasks wait, scalein.go which idle machines to remove, and eviction.go which machines to drain so that
 // they can be removed.
 package autoscaler
 
@@ -38,6 +38,8 @@
 	Requests  []Request
 	Evict     []string // machines that get no more work and are terminated once empty
 	Terminate []string // machines to terminate immediately
+
+	Waits []JobWait // what the waiting jobs wait for, in scheduling order
 }
 
 // Autoscaler plans scale out and scale in for the leader.
@@ -85,7 +87,8 @@
 	available := expected
 	a.addFreeCapacity(available, s)
 	available.compact()
-	plan.Requests = a.withinMachineLimit(a.scaleOut(now, s, waiting, available))
+	plan.Requests, plan.Waits = a.scaleOut(now, s, waiting, available)
+	plan.Requests = a.withinMachineLimit(plan.Requests)
 	plan.Evict = a.idleMachines(now, s, waiting)
 	if len(waiting) == 0 && len(plan.Requests) == 0 {
 		plan.Evict = append(plan.Evict, a.evictionCandidates(now, s, plan.Evict)...)
--- a/controller/fleetscaler.go
+++ b/controller/fleetscaler.go
@@ -21,13 +21,14 @@
 // fleetScaler carries out the leader's fleet plans: it scales out, and maintains the lists of
 // machines that their owners must evict or terminate.
 //
-// The state's lock guards scaleOutCalls.
+// The state's lock guards waitLog and scaleOutCalls.
 type fleetScaler struct {
 	nodeName string
 	state    *nodeState
 	cloud    *cloud.Client
 	logDedup *logDeduplicator
 	log      *slog.Logger
+	waitLog  *waitLog
 
 	scaleOutCalls int // number of calls since the process started; makes the idempotency keys unique
 	requests      sync.WaitGroup
@@ -40,6 +41,7 @@
 		cloud:    shared.cloud,
 		logDedup: shared.logDedup,
 		log:      shared.log,
+		waitLog:  newWaitLog(shared.log),
 	}
 }
 
@@ -54,7 +56,8 @@
 	}
 	plan := leader.autoscaler.Plan(now, leader.scheduler, waiting)
 	f.logScaleIn(&plan)
-	leader.evict, leader.terminate = plan.Evict, plan.Terminate
+	f.waitLog.observe(now, plan.Waits)
+	leader.evict, leader.terminate, leader.waits = plan.Evict, plan.Terminate, plan.Waits
 	for _, request := range plan.Requests {
 		leader.autoscaler.RecordRequest(request)
 		call := f.nextCall(request)
--- a/controller/metricslog.go
+++ b/controller/metricslog.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"strings"
 
+	"junipershelf/autoscaler"
 	"junipershelf/partition"
 	"junipershelf/peer"
 	"junipershelf/scheduler"
@@ -127,11 +128,17 @@
 	l.log.Info("scheduler metrics", "view", l.state.current.view.Number,
 		"machines", len(s.Machines()), "jobs", len(l.state.jobs.Jobs),
 		"held", totals.Held, "running", totals.Running, "starting", totals.Starting,
-		"queued", totals.Queued, "waiting", totals.Waiting,
+		"queued", totals.Queued, "waiting", totals.Waiting, "waiting_for", waitSummary(l.state.leader.waits),
 		"free_cpus", int(totals.FreeCPUs), "teams", teamSummary(s, totals.Teams),
 		"assigned", s.Counts.Assigned, "starvation_protected", s.Counts.StarvationProtected, "preempted", s.Counts.Preempted)
 }
 
+// waitSummary returns how many tasks wait for what, as of the last plan.
+func waitSummary(waits []autoscaler.JobWait) string {
+	total := autoscaler.TotalWaits(waits)
+	return fmt.Sprintf("team_limit %d place %d requested %d no_machine %d", total.TeamLimit, total.Place, total.Requested, total.NoMachine)
+}
+
 // teamSummary returns, for each team, its running CPUs, the CPUs that count against its limit, and
 // the limit.
 func teamSummary(s *scheduler.Scheduler, teams []scheduler.TeamTotals) string {
--- a/controller/show.go
+++ b/controller/show.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"junipershelf/autoscaler"
 	"junipershelf/membership"
 	"junipershelf/partition"
 	"junipershelf/peer"
@@ -53,6 +54,7 @@
 	}
 	if s := r.state.leader.scheduler; s != nil {
 		shown.Leader = showLeader(s, now)
+		shown.Leader.JobWaits = showWaits(r.state.leader.waits)
 	}
 	return shown
 }
@@ -86,6 +88,18 @@
 	}
 }
 
+// maxShownWaits is the number of jobs of which the waits are shown, those that are served first.
+const maxShownWaits = 100
+
+// showWaits returns what jobs wait for, by job.
+func showWaits(waits []autoscaler.JobWait) map[string]string {
+	shown := map[string]string{}
+	for _, w := range waits[:min(len(waits), maxShownWaits)] {
+		shown[w.Job] = w.String()
+	}
+	return shown
+}
+
 // showLeader returns the scheduler's counters and its totals for each team.
 func showLeader(s *scheduler.Scheduler, now time.Time) *peer.LeaderState {
 	shown := &peer.LeaderState{
--- a/controller/state.go
+++ b/controller/state.go
@@ -58,8 +58,9 @@
 type leaderState struct {
 	scheduler  *scheduler.Scheduler // nil unless this node is the leader
 	autoscaler *autoscaler.Autoscaler
-	evict      []string // machines to terminate once they are idle
-	terminate  []string // machines to terminate without waiting for their tasks to finish
+	evict      []string             // machines to terminate once they are idle
+	terminate  []string             // machines to terminate without waiting for their tasks to finish
+	waits      []autoscaler.JobWait // what the waiting jobs wait for, as of the last plan
 }
 
 // leadingView returns the current view and reports whether this node is its leader.
--- a/peer/show.go
+++ b/peer/show.go
@@ -39,5 +39,6 @@
 	TeamCPUs         map[string]float64 `msgpack:"team_cpus"`
 	TeamQueuedCPUs   map[string]float64 `msgpack:"team_queued_cpus"`
 	TeamWaitingTasks map[string]int     `msgpack:"team_waiting_tasks"`
+	JobWaits         map[string]string  `msgpack:"job_waits"` // by job: what its unassigned and queued tasks wait for
 	Counts           scheduler.Counts   `msgpack:"counts"`
 }
