Drop the plan with the view, so that nothing is evicted by an earlier one

A leader kept its lists of machines to evict and to terminate when its view ended, and handed them out again in a later view that it led, until the first plan of that view. An eviction lasts for the view, so a machine that had got work since was drained, whether or not its tasks had a place elsewhere.

Change: the plan ends with the view; only the machine types outlive it. TestPlanEndsWithTheView failed before: evicts [i-1], terminates [i-2], want none.

--- a/controller/ownership.go
+++ b/controller/ownership.go
@@ -83,10 +83,11 @@
 	s.clearPartition()
 }
 
-// clearPartition clears the node's partition and scheduler, so that it is neither an owner nor the
+// clearPartition clears the node's partition, scheduler and plan, so that it is neither an owner nor the
 // leader. The caller holds the lock.
 func (s *nodeState) clearPartition() {
-	s.current.partition, s.leader.scheduler = nil, nil
+	s.current.partition = nil
+	s.leader = leaderState{autoscaler: s.leader.autoscaler} // the machine types outlive the view
 }
 
 // led reports whether the node was the leader of the view.
--- a/controller/ownership_test.go
+++ b/controller/ownership_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"junipershelf/autoscaler"
 	"junipershelf/job"
 	"junipershelf/membership"
 	"junipershelf/partition"
@@ -41,6 +42,24 @@
 	}
 }
 
+// Guards against plans of an earlier view: a node that led it and leads again told the owners to evict or
+// terminate machines that had got work since, before its first plan of the new view.
+func TestPlanEndsWithTheView(t *testing.T) {
+	o, _, _ := newTestOwnership(t)
+	planner := autoscaler.New(autoscaler.Config{})
+	o.state.leader.autoscaler = planner
+	o.state.leader.evict, o.state.leader.terminate = []string{"i-1"}, []string{"i-2"}
+	o.state.leader.waits = []autoscaler.JobWait{{Job: "wk-1"}}
+	o.state.dropPartition(o.log, dropNextView)
+	leader := &o.state.leader
+	if len(leader.evict)+len(leader.terminate)+len(leader.waits) > 0 {
+		t.Errorf("evicts %v, terminates %v, waits %v, want none", leader.evict, leader.terminate, leader.waits)
+	}
+	if leader.autoscaler != planner {
+		t.Error("the autoscaler, which holds the machine types, is gone")
+	}
+}
+
 // Only the leader of the previous view, its first member, logs that it is deposed, with both views.
 func TestOnlyPreviousLeaderLogsDeposed(t *testing.T) {
 	fifth := membership.View{Number: 5}
