Withdraw queued tasks for a place elsewhere if their owner may not move them

Tasks of jobs with zone constraints and of gangs waited on full machines beside an idle machine that fitted: overflow moves no such tasks, and a reservation that slowly comes nearer does not end. Only the leader knows which zones are open to the job.

Change: the leader takes such a task out of its queue after 10 s, by the message that preempts tasks, if a machine has a place that no waiting job took in the cycle; each place is claimed once. An owner that is told to stop a task it has not started ends the placement at once, not with the next heartbeat. "withdrawn" in "scheduler metrics" counts them.

--- a/controller/metricslog.go
+++ b/controller/metricslog.go
@@ -130,7 +130,7 @@
 		"held", totals.Held, "running", totals.Running, "starting", totals.Starting,
 		"queued", totals.Queued, "waiting", totals.Waiting, "waiting_for", waitSummary(l.state.leader.waits),
 		"free_cpus", int(totals.FreeCPUs), "teams", teamSummary(s, totals.Teams),
-		"assigned", s.Counts.Assigned, "starvation_protected", s.Counts.StarvationProtected, "preempted", s.Counts.Preempted)
+		"assigned", s.Counts.Assigned, "starvation_protected", s.Counts.StarvationProtected, "preempted", s.Counts.Preempted, "withdrawn", s.Counts.Withdrawn)
 }
 
 // waitSummary returns how many tasks wait for what, as of the last plan.
--- a/partition/review.go
+++ b/partition/review.go
@@ -11,12 +11,17 @@
 	*shared
 }
 
-// preempt requests the stop of a task if it is placed on the machine.
+// preempt requests the stop of a task if it is placed on the machine, or ends its placement if it was never
+// started.
 func (r *placementReview) preempt(m *Machine, task job.Task) {
 	pl := m.find(task)
 	if pl == nil || pl.stopping || pl.hasEnded() {
 		return
 	}
+	if pl.isPending() {
+		r.markLost(m, pl) // never started, so there is no end to wait for
+		return
+	}
 	graceS := 0.0
 	if cached := r.jobs.Get(task.Job); cached != nil && cached.Spec.CheckpointIntervalS > 0 {
 		graceS = checkpointGraceS(cached)
--- a/scheduler/cycle.go
+++ b/scheduler/cycle.go
@@ -18,6 +18,7 @@
 	s.starvation.selectProtected(waiting)
 	s.runPasses(waiting, now)
 	s.preemptor.run(waiting, now)
+	s.withdrawal.run(now)
 	return waiting
 }
 
--- a/scheduler/preemptroom.go
+++ b/scheduler/preemptroom.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"junipershelf/job"
+	"junipershelf/partition"
 )
 
 // roomsAfterPreemption is what will be free on machines with preempted tasks once these have stopped, less
@@ -34,6 +35,9 @@
 			delete(p.preempted, task)
 			continue
 		}
+		if h.held.Phase == partition.PhaseQueued {
+			continue // it has no resources to release
+		}
 		room, known := rooms.free[h.machine]
 		if !known {
 			room = h.machine.FreeNow.ClampToZero()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -46,6 +46,7 @@
 	starvation starvationGuard
 	placer     *placer
 	preemptor  preemptor
+	withdrawal withdrawal
 	compaction compactionPlanner
 	forwards   []partition.ForwardRequest // requested by owners since the last cycle
 }
@@ -54,6 +55,7 @@
 type Counts struct {
 	Assigned            uint64 `msgpack:"Assigned"`
 	Preempted           uint64 `msgpack:"Preempted"`
+	Withdrawn           uint64 `msgpack:"Withdrawn"` // tasks taken out of queues for a place elsewhere
 	StarvationProtected uint64 `msgpack:"StarvationProtected"`
 
 	// Assigned replicas, and how long they had waited for a machine in total.
@@ -75,6 +77,7 @@
 		cfg: s.cfg, cluster: s.cluster, estimates: s.estimates, quarantine: s.quarantine, placer: s.placer,
 		waiting: &s.waiting, counts: &s.Counts, preempted: map[job.Task]time.Time{},
 	}
+	s.withdrawal = withdrawal{cluster: s.cluster, quarantine: s.quarantine, preemptor: &s.preemptor, counts: &s.Counts, targets: map[job.Task]string{}}
 	s.compaction = compactionPlanner{cfg: s.cfg, cluster: s.cluster}
 	return s
 }
