Let agents forget a task only once no copy of its start may arrive

A copy of a heartbeat's reply that reached an agent within the 4 s for which it takes a reply started a task again which it had carried out, reported as ended and been told to forget: it ran once more, also when its job had been cancelled or the task moved since. Starts go out in replies to heartbeats only, and agents have one heartbeat in flight, so neither a late reply nor a late heartbeat does it: the new test with both, around a restart of the agent, the other owners, the leader and all controllers, passed before.

Change: an owner orders `forget` 4 s after it last sent the start, or later; the next attempt at the same task on the same machine waits for that. A new owner need not know: agents ignore what earlier owners sent.

Evidence: TestLateCopiesStartNoTaskAgain failed in 10 of 10 subtests before ("attempt … started again on machine …") and passes; TestTaskIsForgottenOnlyOnceNoCopyOfItsStartMayArrive and TestNextAttemptWaitsUntilTheLastOneIsForgotten failed before. The scenario finds two altered rules: heartbeats of earlier views taken as contact (1 subtest), and restored placements started again (2). The emulated agents report a start of an attempt that they have started before, in all scenarios; a command counts as sent to a cancelled job by when its reply arrived, before a delay at the agent. Golden traces are written anew on purpose: all `forget` commands come later.

--- a/internal/emulator/agent.go
+++ b/internal/emulator/agent.go
@@ -44,13 +44,21 @@
 	sequence         uint64
 	fencingToken     uint64
 	lastAcknowledged time.Time // when the latest heartbeat with a reply was sent; the lease starts then
+	replyArrived     time.Time // when the reply that is being applied arrived at the machine, before any delay there
 	tasks            map[string]*agentTask
-	images           map[string]bool // cached on the machine
+	started          map[attemptKey]bool // all attempts that were started on the machine
+	images           map[string]bool     // cached on the machine
 	pausedUntil      time.Time
 	terminated       bool
 	heartbeatNow     chan struct{} // holds an item when a heartbeat is due before the interval ends
 }
 
+// attemptKey identifies an attempt at a task.
+type attemptKey struct {
+	task    string
+	attempt uint64
+}
+
 func (a *agent) endpoint() string { return a.id + ":9000" }
 
 // terminate ends the agent and all of its tasks.
@@ -119,6 +127,11 @@
 	if time.Since(a.lastAcknowledged) <= a.cloud.invariants.LeaseDuration {
 		return
 	}
+	a.beginEpoch()
+}
+
+// beginEpoch drops all tasks and begins the next epoch. The caller holds the cloud's lock.
+func (a *agent) beginEpoch() {
 	a.endAllTasks()
 	a.epoch++
 	a.lastAcknowledged = time.Now()
@@ -145,14 +158,18 @@
 	h := a.nextHeartbeat(nodes)
 	nextNode := (node + 1) % len(nodes)
 	response, err := postHeartbeat(a.cloud.ctx, client, a.cloud.Nodes[nodes[node]], h.raw)
-	if err != nil || h.replyLost {
+	arrived := time.Now()
+	time.Sleep(h.replyDelay)
+	if err != nil || h.replyLost || time.Since(sent) > replyTimeout {
 		return nextNode, retryDelay
 	}
 	switch response.code {
 	case http.StatusOK:
 		var r protocol.HeartbeatReply
 		if protocol.Unmarshal(response.body, &r) == nil {
-			a.apply(&r, h.epoch, sent)
+			times := replyTimes{sent, arrived}
+			a.apply(&r, h.epoch, times)
+			a.repeatReply(&r, &h, times)
 		}
 		return node, a.heartbeatInterval()
 	case http.StatusMisdirectedRequest:
@@ -165,11 +182,27 @@
 	return nextNode, retryDelay
 }
 
-// encodedHeartbeat is a heartbeat ready to be sent.
+// repeatReply applies a reply again if the cloud's faults say so. A copy that arrives too late after the
+// heartbeat is dropped like any reply.
+func (a *agent) repeatReply(r *protocol.HeartbeatReply, h *encodedHeartbeat, times replyTimes) {
+	if !h.replyRepeated || time.Since(times.sent)+h.repeatDelay > replyTimeout {
+		return
+	}
+	copied := *r
+	ctxtime.AfterFunc(h.repeatDelay, func() { a.apply(&copied, h.epoch, times) })
+}
+
+// replyTimes are when a heartbeat was sent, and when its reply arrived.
+type replyTimes struct{ sent, arrived time.Time }
+
+// encodedHeartbeat is a heartbeat ready to be sent, with the faults of its reply.
 type encodedHeartbeat struct {
-	raw       []byte
-	epoch     uint64
-	replyLost bool // the machine does not receive the reply
+	raw           []byte
+	epoch         uint64
+	replyLost     bool // the machine does not receive the reply
+	replyDelay    time.Duration
+	replyRepeated bool
+	repeatDelay   time.Duration
 }
 
 // nextHeartbeat encodes a heartbeat, and sends or records copies of it as configured by the
@@ -191,7 +224,14 @@
 	if c.RecordHeartbeats && c.recordedHeartbeats[a.id] == nil {
 		c.recordedHeartbeats[a.id] = raw
 	}
-	return encodedHeartbeat{raw: raw, epoch: a.epoch, replyLost: c.UnreachableForReplies[a.id]}
+	h := encodedHeartbeat{raw: raw, epoch: a.epoch, replyLost: c.UnreachableForReplies[a.id]}
+	if c.DelayReply != nil {
+		h.replyDelay = c.DelayReply()
+	}
+	if c.RepeatReply != nil {
+		h.repeatDelay, h.replyRepeated = c.RepeatReply()
+	}
+	return h
 }
 
 // heartbeatMessage is a heartbeat with its wire keys. It is declared apart from
--- a/internal/emulator/agenttasks.go
+++ b/internal/emulator/agenttasks.go
@@ -57,7 +57,7 @@
 // apply renews the lease from the time at which the heartbeat was sent, and executes the reply's
 // commands. It ignores a reply to a heartbeat of an earlier epoch, and a reply with a lower
 // fencing token than the agent has seen.
-func (a *agent) apply(r *protocol.HeartbeatReply, epoch uint64, sent time.Time) {
+func (a *agent) apply(r *protocol.HeartbeatReply, epoch uint64, times replyTimes) {
 	a.cloud.mu.Lock()
 	defer a.cloud.mu.Unlock()
 	a.expireLease()
@@ -68,7 +68,7 @@
 		a.fencingToken = r.FencingToken
 		a.requestHeartbeat()
 	}
-	a.lastAcknowledged = sent
+	a.lastAcknowledged, a.replyArrived = times.sent, times.arrived
 	for _, command := range r.Commands {
 		if a.applyCommand(command) {
 			a.requestHeartbeat()
@@ -106,7 +106,7 @@
 	job := jobOf(command.Task)
 	spec := a.cloud.jobSpecs[job]
 	t := &agentTask{name: command.Task, attempt: command.Attempt, status: protocol.TaskEnded, timer: time.NewTimer(0)}
-	if at, ok := a.cloud.cancelledAt[job]; ok && time.Since(at) > startCommandTransit {
+	if at, ok := a.cloud.cancelledAt[job]; ok && a.replyArrived.Sub(at) > startCommandTransit {
 		a.cloud.StartCommandsAfterCancel++
 	}
 	if cause := a.refusalCause(spec, existing); cause != "" {
@@ -116,6 +116,11 @@
 		}
 		return
 	}
+	key := attemptKey{command.Task, command.Attempt}
+	if a.started[key] {
+		a.cloud.recordViolation(RuleRunsOnce, "attempt %d at task %s started again on machine %s", command.Attempt, command.Task, a.id)
+	}
+	a.started[key] = true
 	t.status = protocol.TaskFetching
 	a.tasks[command.Task] = t
 	t.timer = ctxtime.AfterFunc(a.fetchTime(spec), func() { a.startRunning(t, spec) })
--- a/internal/emulator/cloud.go
+++ b/internal/emulator/cloud.go
@@ -42,6 +42,8 @@
 	FailingJobs           map[string]bool                       // all of their tasks fail
 	UnreachableForReplies map[string]bool                       // machines that send heartbeats but receive no replies
 	DuplicateHeartbeat    func() (delay time.Duration, ok bool) // whether a heartbeat is sent again, and after what delay; nil: never
+	DelayReply            func() time.Duration                  // how much later an agent receives a reply, which it drops if it is too late; nil: at once
+	RepeatReply           func() (delay time.Duration, ok bool) // whether an agent receives a reply again, and after what delay; nil: never
 	RecordHeartbeats      bool                                  // record each machine's next heartbeat for ReplayHeartbeats
 
 	Results    map[string]int // completions by task
@@ -207,6 +209,7 @@
 		readyAt:      time.Now().Add(boot),
 		epoch:        1,
 		tasks:        map[string]*agentTask{},
+		started:      map[attemptKey]bool{},
 		images:       map[string]bool{},
 		stop:         stop,
 		heartbeatNow: make(chan struct{}, 1),
--- a/internal/emulator/cloudfaults.go
+++ b/internal/emulator/cloudfaults.go
@@ -24,15 +24,31 @@
 	}
 }
 
+// RestartAgent ends a machine's tasks and begins the agent's next epoch, as after a restart of the agent.
+func (c *Cloud) RestartAgent(machine string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a := c.agents[machine]; a != nil {
+		a.beginEpoch()
+	}
+}
+
 // ReplayHeartbeats sends the recorded heartbeats to controllers, discards them and stops recording.
 func (c *Cloud) ReplayHeartbeats(nodes ...string) {
+	c.ReplayHeartbeatsAfter([]time.Duration{0}, nodes...)
+}
+
+// ReplayHeartbeatsAfter is ReplayHeartbeats for copies that arrive after each of the given delays.
+func (c *Cloud) ReplayHeartbeatsAfter(delays []time.Duration, nodes ...string) {
 	c.mu.Lock()
 	recorded := c.recordedHeartbeats
 	c.recordedHeartbeats, c.RecordHeartbeats = map[string][]byte{}, false
 	c.mu.Unlock()
 	for machine, raw := range recorded {
 		for _, node := range nodes {
-			go c.sendCopy(machine, node, raw, 0)
+			for _, delay := range delays {
+				go c.sendCopy(machine, node, raw, delay)
+			}
 		}
 	}
 }
--- a/internal/emulator/doc.go
+++ b/internal/emulator/doc.go
@@ -12,8 +12,8 @@
 //     that are reclaimed without notice, paused, or never boot; limited capacity; an unavailable
 //     API; terminated machines that keep running.
 //   - The worker agents on the cloud's machines (agent.go, agenttasks.go): heartbeats that are
-//     duplicated late or replayed, machines that receive no replies, machines and jobs whose
-//     tasks all fail.
+//     duplicated late or replayed, replies that arrive late or again, machines that receive no
+//     replies, agents that restart, machines and jobs whose tasks all fail.
 //   - [MemoryNetwork] and [DirectTransport], a network in memory (memorynetwork.go,
 //     directtransport.go): blocked directions, latency, and hosts that lose all connections.
 //   - [LoopbackNetwork], the machine's loopback network (loopbacknetwork.go): blocked hosts.
--- a/internal/emulator/invariants.go
+++ b/internal/emulator/invariants.go
@@ -21,7 +21,7 @@
 
 // The rules that a violation names.
 const (
-	RuleRunsOnce   Rule = "ran_twice"     // a task runs on at most one machine at a time
+	RuleRunsOnce   Rule = "ran_twice"     // a task runs on at most one machine at a time, and an attempt at it once
 	RuleCancelled  Rule = "ran_cancelled" // no task of a cancelled job is active after the cancellation deadline
 	RuleQuota      Rule = "quota"         // a team uses at most its limit of CPUs
 	RuleConstraint Rule = "wrong_place"   // a task runs only where its job's constraints allow it
--- a/partition/commands.go
+++ b/partition/commands.go
@@ -22,14 +22,17 @@
 
 // withoutStarts returns the commands for the reply to a machine's last heartbeat that start nothing.
 func (c *commands) withoutStarts(now time.Time, m *Machine) []protocol.Command {
-	return append(m.unknownTaskCommands(), c.stopCommands(m, now)...)
+	return append(m.unknownTaskCommands(now), c.stopCommands(m, now)...)
 }
 
 // unknownTaskCommands returns the commands to forget or stop the tasks that a machine reports without
 // a placement.
-func (m *Machine) unknownTaskCommands() (out []protocol.Command) {
+func (m *Machine) unknownTaskCommands(now time.Time) (out []protocol.Command) {
 	for task, reported := range m.unknown {
 		if reported.Status == protocol.TaskEnded {
+			if m.starts.mayArrive(reported.Attempt, now) {
+				continue
+			}
 			out = append(out, protocol.Command{Kind: protocol.CommandForget, Task: task.String(), Attempt: reported.Attempt})
 		} else {
 			out = append(out, stopCommand(task, reported.Attempt, 0))
@@ -77,7 +80,7 @@
 		if !pl.isPending() {
 			continue
 		}
-		if !pl.committed || !pl.Resources.FitsIn(free) || pl.AgentEpoch != m.agentEpoch {
+		if !pl.committed || !pl.Resources.FitsIn(free) || pl.AgentEpoch != m.agentEpoch || m.keepsOtherAttempt(pl, now) {
 			break
 		}
 		free = free.Sub(pl.Resources)
@@ -86,10 +89,18 @@
 	return out
 }
 
+// keepsOtherAttempt reports whether the agent still has an earlier attempt at a placement's task that it may not
+// be told to forget yet. It would refuse the start.
+func (m *Machine) keepsOtherAttempt(pl *Placement, now time.Time) bool {
+	reported, kept := m.unknown[pl.Task]
+	return kept && m.starts.mayArrive(reported.Attempt, now)
+}
+
 // startCommands returns the commands that start placements, and records them as sent.
 func (c *commands) startCommands(placements []*Placement, m *Machine, now time.Time) (out []protocol.Command) {
 	for _, pl := range placements {
 		pl.sendStart(m.sequence, now)
+		m.starts.record(pl.Attempt, now)
 		c.Counts.Started++
 		c.machines.markChanged(m)
 		out = append(out, protocol.Command{Kind: protocol.CommandStart, Task: pl.Task.String(), Attempt: pl.Attempt})
--- a/partition/machine.go
+++ b/partition/machine.go
@@ -26,6 +26,7 @@
 	refusedStart     bool                               // its last heartbeat reported a start refused for lack of free resources, although they should have sufficed
 	intake           overflowIntake
 	replies          replyTracker
+	starts           sentStarts
 	idleSince        time.Time // zero while the machine holds tasks
 	version          uint64    // of its last change, see machineTable
 }
