Preempt for a whole gang or not at all, and request machines so

Gangs are assigned as a whole, but preemption looked at one task, and so did the limit in preemption and scale-out, which requested machines for the part of a gang that its team's limit allows.

Evidence: TestPreemptsForAWholeGangOrNotAtAll failed in three cases before (3, 6 and 6 tasks preempted, want 0), TestGangBeyondItsTeamsLimitGetsNoMachines requested 3 machines without the change.

--- a/autoscaler/freecapacity_test.go
+++ b/autoscaler/freecapacity_test.go
@@ -248,6 +248,15 @@
 	}
 }
 
+// A gang that its team's limit does not allow as a whole gets no machines: a part of it cannot run.
+func TestGangBeyondItsTeamsLimitGetsNoMachines(t *testing.T) {
+	scaler, leader := octaFleet(t, []protocol.JobSpec{{UID: "wk-1", Shape: protocol.ShapeGang, Tasks: 4, CPUs: 8}})
+	leader.Teams[0].Limit.CPUs = 31
+	if plan := cycleAndPlan(scaler, leader, t0); len(plan.Requests) != 0 || plan.Waits[0].TeamLimit != 4 {
+		t.Errorf("requests %v, waits %v; want no request for 4 tasks beyond the limit", plan.Requests, plan.Waits)
+	}
+}
+
 // BenchmarkPlan measures a plan with full machines whose free pieces differ, and with waiting jobs that
 // fit on none of them, for lack of CPUs or because no machine has enough CPUs and memory.
 func BenchmarkPlan(b *testing.B) {
--- a/autoscaler/scaleout.go
+++ b/autoscaler/scaleout.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"junipershelf/job"
+	"junipershelf/protocol"
 	"junipershelf/scheduler"
 )
 
@@ -73,6 +74,9 @@
 	}
 	need := w.Job.Resources()
 	tasks := min(waiting, need.FitCount(remaining))
+	if w.Job.Spec.Shape == protocol.ShapeGang && tasks < waiting {
+		tasks = 0 // a part of a gang cannot run
+	}
 	need.MemoryGB = 0
 	p.headroom[w.Team] = remaining.Sub(times(need, tasks))
 	return tasks
--- a/scheduler/jobentry.go
+++ b/scheduler/jobentry.go
@@ -28,6 +28,7 @@
 
 	unassignedSince map[int]time.Time // by replica of a service
 	servedAt        time.Time         // when tasks of the job were last assigned
+	preemptedAt     time.Time         // of a gang: when tasks were last stopped for it
 	backoff
 }
 
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -150,17 +150,18 @@
 	} else if c.waitingCPUs <= c.releaseRateCPUs*c.cfg.PreemptAfter.Seconds() {
 		return false
 	}
-	if w.Tasks <= 0 || w.PastDeadline || c.now.Sub(w.Job.FirstSeen) < after || !c.cluster.quotas.allows(w.Job, limitQuota) {
+	if w.Tasks <= 0 || w.PastDeadline || c.now.Sub(w.Job.FirstSeen) < after || !c.cluster.quotas.allowsNext(w, limitQuota) {
 		return false
 	}
-	return w.Job.Rank < protocol.FirstNonUrgentRank || c.cluster.quotas.allows(w.Job, guaranteeQuota)
+	return w.Job.Rank < protocol.FirstNonUrgentRank || c.cluster.quotas.allowsNext(w, guaranteeQuota)
 }
 
 // preemptingJob is a job for which tasks are stopped.
 type preemptingJob struct {
 	*WaitingJob
 	need            job.Resources // of one task
-	withinGuarantee bool          // one more task is within the guarantee of its team
+	withinGuarantee bool          // what it needs next is within the guarantee of its team
+	zone            string        // the only zone to consider; anyZone: all
 }
 
 // preemptFor stops tasks to free capacity for a job's tasks, up to the limits of one cycle.
@@ -168,7 +169,11 @@
 	if c.victims == nil {
 		c.victims = c.findVictims(c.now)
 	}
-	pj := preemptingJob{WaitingJob: w, need: w.Job.Resources(), withinGuarantee: c.cluster.quotas.allows(w.Job, guaranteeQuota)}
+	pj := preemptingJob{WaitingJob: w, need: w.Job.Resources(), withinGuarantee: c.cluster.quotas.allowsNext(w, guaranteeQuota)}
+	if w.Job.Spec.Shape == protocol.ShapeGang {
+		c.preemptForGang(&pj)
+		return
+	}
 	for range min(w.Tasks, maxJobPreemptions) {
 		if c.takeRoom(&pj) {
 			continue
--- a/scheduler/preempt_test.go
+++ b/scheduler/preempt_test.go
@@ -209,3 +209,36 @@
 		}
 	}
 }
+
+// Guards against tasks that are stopped and started in turns for a gang that cannot run: for a part of its places,
+// or beyond the limit of its team.
+func TestPreemptsForAWholeGangOrNotAtAll(t *testing.T) {
+	gang := protocol.JobSpec{UID: "wk-1", Team: "blue", CPUs: 3, Tasks: 2, Priority: "urgent", ExpectedS: 60, Shape: protocol.ShapeGang}
+	inOneZone := gang
+	inOneZone.SameZone = true
+	beyondLimit := gang
+	beyondLimit.CPUs, beyondLimit.Tasks = 3, 34
+	twoZones := []partition.MachineState{machine("a"), machine("b")}
+	twoZones[1].Zone = "y"
+	for _, c := range []struct {
+		name   string
+		spec   protocol.JobSpec
+		states []partition.MachineState
+		want   int
+	}{
+		{"on two machines", gang, []partition.MachineState{machine("a"), machine("b")}, 6},
+		{"one machine is missing", gang, []partition.MachineState{machine("a")}, 0},
+		{"in one zone", inOneZone, []partition.MachineState{machine("a"), machine("b")}, 6},
+		{"one machine in each of two zones", inOneZone, twoZones, 0},
+		{"beyond the limit of its team", beyondLimit, []partition.MachineState{machine("a"), machine("b")}, 0},
+	} {
+		sched, got := preemptions(t, 0, c.spec, c.states...)
+		if got != c.want {
+			t.Errorf("%s: %d tasks are preempted, want %d", c.name, got, c.want)
+		}
+		sched.RunCycle(t0.Add(6 * time.Second))
+		if again := len(sched.Preemptions(0)); again != got {
+			t.Errorf("%s: %d tasks are preempted after another cycle, want %d", c.name, again, got)
+		}
+	}
+}
--- a/scheduler/preemptvictims.go
+++ b/scheduler/preemptvictims.go
@@ -96,7 +96,8 @@
 
 // mayUse reports whether the job's tasks could run on a machine if it were empty.
 func (pj *preemptingJob) mayUse(m *Machine) bool {
-	return pj.need.FitsIn(m.Capacity) && job.AllowsMachine(&pj.Job.Spec, m.kind()) && pj.zoneAllowed(m.Zone)
+	return pj.need.FitsIn(m.Capacity) && job.AllowsMachine(&pj.Job.Spec, m.kind()) &&
+		(pj.zone == anyZone || pj.zone == m.Zone) && pj.zoneAllowed(m.Zone)
 }
 
 // victimsOn chooses the tasks to stop on a machine so that one task of a job can run there, beginning
--- a/scheduler/quota.go
+++ b/scheduler/quota.go
@@ -3,6 +3,7 @@
 import (
 	"junipershelf/job"
 	"junipershelf/partition"
+	"junipershelf/protocol"
 )
 
 // Team is a team from the settings, with the resources that its jobs hold.
@@ -110,6 +111,16 @@
 	return need.FitCount(bound.Sub(t.used))
 }
 
+// allowsNext reports whether a job's team may hold, within a quota, what the job needs next: one more task, or all
+// that are left of a gang.
+func (q *quotas) allowsNext(w *WaitingJob, within quota) bool {
+	needed := 1
+	if w.Job.Spec.Shape == protocol.ShapeGang {
+		needed = w.Tasks
+	}
+	return q.remaining(w.Job, within) >= needed
+}
+
 // allows reports whether a job's team may hold one more of the job's tasks within a quota.
 func (q *quotas) allows(live *job.CachedJob, within quota) bool {
 	return q.remaining(live, within) >= 1
