Return idle machines that no job needs while the cloud lacks those that one does

A gang spread over two zones waited for ever: the cloud's capacity was used up by idle machines in one zone, which were kept for the gang since it may run there, though it could use no more of them there, and the machine that it lacked in the other zone could not be had.

Change: while a waiting job fits nowhere for want of the cloud's capacity, empty machines that the plan reserves for no job are returned like other idle ones.

Evidence: TestSurplusIdleMachinesAreReturnedForOnesThatAJobLacks evicted nothing before, want 2.

--- a/autoscaler/autoscaler.go
+++ b/autoscaler/autoscaler.go
@@ -89,7 +89,7 @@
 	available.compact()
 	plan.Requests, plan.Waits = a.scaleOut(now, s, waiting, available)
 	plan.Requests = a.withinMachineLimit(plan.Requests)
-	plan.Evict = a.idleMachines(now, s, waiting)
+	plan.Evict = a.idleMachines(now, s, waiting, a.surplus(available, plan.Waits))
 	if len(waiting) == 0 && len(plan.Requests) == 0 {
 		plan.Evict = append(plan.Evict, a.evictionCandidates(now, s, plan.Evict)...)
 	}
--- a/autoscaler/freecapacity.go
+++ b/autoscaler/freecapacity.go
@@ -94,6 +94,19 @@
 	return true
 }
 
+// count returns how many machines of an offer have the given free resources.
+func (c freeCapacity) count(offer Offer, free job.Resources) (machines int) {
+	if c[offer] == nil {
+		return 0
+	}
+	for _, group := range c[offer].groups {
+		if compareResources(group.free, free) == 0 {
+			machines += group.count
+		}
+	}
+	return machines
+}
+
 // reserve takes the resources of up to maximum tasks from the machines of an offer, and returns for how
 // many tasks there were resources.
 func (c freeCapacity) reserve(offer Offer, need job.Resources, maximum int) int {
--- a/autoscaler/freecapacity_test.go
+++ b/autoscaler/freecapacity_test.go
@@ -248,6 +248,32 @@
 	}
 }
 
+// Guards against a gang that waits for ever for a place in another zone: idle machines were kept for it, more than
+// it can use, and took the cloud's capacity for the machine that it lacked.
+func TestSurplusIdleMachinesAreReturnedForOnesThatAJobLacks(t *testing.T) {
+	empty := autoscaler.Capacity(&octa)
+	var states []partition.MachineState
+	for _, id := range []string{"m1", "m2", "m3", "m4"} {
+		idle := octaMachine(id, "a", empty)
+		idle.IdleS = 1000
+		states = append(states, idle)
+	}
+	spread := protocol.JobSpec{UID: "wk-1", Shape: protocol.ShapeGang, Tasks: 4, CPUs: 8, SpreadZones: true}
+	for _, c := range []struct {
+		name    string
+		refused bool // the cloud has no machine in the other zone
+		want    int
+	}{{"the other zone has machines", false, 0}, {"the other zone has none", true, 2}} {
+		scaler, leader := octaFleet(t, []protocol.JobSpec{spread}, states...)
+		if c.refused {
+			scaler.RecordNoCapacity(autoscaler.Request{Offer: autoscaler.Offer{MachineType: octa.Name, Zone: "b", Spot: true}, Count: 2}, t0)
+		}
+		if got := cycleAndPlan(scaler, leader, t0.Add(time.Second)).Evict; len(got) != c.want {
+			t.Errorf("%s: evicted %v, want %d machines", c.name, got, c.want)
+		}
+	}
+}
+
 // A gang that its team's limit does not allow as a whole gets no machines: a part of it cannot run.
 func TestGangBeyondItsTeamsLimitGetsNoMachines(t *testing.T) {
 	scaler, leader := octaFleet(t, []protocol.JobSpec{{UID: "wk-1", Shape: protocol.ShapeGang, Tasks: 4, CPUs: 8}})
