--- a/controller/placelesstasks_test.go
+++ b/controller/placelesstasks_test.go
@@ -1,6 +1,7 @@
 package controller_test
 
 import (
+	"maps"
 	"strings"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 
 // runTimes sets how long the tasks of each job run; 5 s for others.
 func (c *simulatedCluster) runTimes(byJob map[string]time.Duration) {
+	byJob = maps.Clone(byJob) // the agents read it while the caller may add jobs
 	c.cloud.WithLock(func() {
 		c.cloud.RunFor = func(task string) time.Duration {
 			uid, _, _ := strings.Cut(task, "/")
