Random job shapes: accelerators too, and enough machines for them

Tasks with accelerators were not drawn. The reservation tests fill their machine in one place, and the policy file says when a task returns to the leader.

--- a/controller/randomshapes_test.go
+++ b/controller/randomshapes_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -23,10 +24,11 @@
 // shapesDeployment has two machine types, one with accelerators, in two zones.
 func shapesDeployment() deployment {
 	d := smallDeployment
+	d.facts = strings.ReplaceAll(d.facts, "gpus_max = 0.0", "gpus_max = 8.0")
 	d.machineTypes = append(d.machineTypes[:1:1], protocol.MachineType{
 		Name: "octa", CPUs: 8, Accelerators: 2, MemGB: 64, CacheGB: 70, PullGBPerS: 0.5, Price: 0.6, SpotPrice: 0.2, BootS: 8, Zones: []string{"east", "west"},
 	})
-	d.capacity = map[string]int{"quad": 4, "octa": 3}
+	d.capacity = map[string]int{"quad": 4, "octa": 5} // services hold at most four of them
 	return d
 }
 
@@ -67,7 +69,10 @@
 		leader, _ := r.cluster.leader()
 		r.cluster.crash(leader, time.Duration(r.rng.IntN(3000))*time.Millisecond)
 	case len(machines) > 0 && r.rng.IntN(2) == 0:
-		r.cluster.cloud.WithLock(func() { r.cluster.cloud.Capacity["quad"]++ }) // the cloud gets a machine back
+		r.cluster.cloud.WithLock(func() { // the cloud gets a machine back, of whichever type
+			r.cluster.cloud.Capacity["quad"]++
+			r.cluster.cloud.Capacity["octa"]++
+		})
 		r.cluster.cloud.Reclaim(machines[r.rng.IntN(len(machines))])
 	}
 	for len(r.services) > 2 {
@@ -91,6 +96,9 @@
 	if body["together"] == false {
 		body["scatter"] = r.rng.IntN(5) == 0
 	}
+	if r.rng.IntN(6) == 0 {
+		body["accelerators"], body["borrowed"] = float64(1+r.rng.IntN(2)), true
+	}
 	runTime := time.Duration(1+r.rng.IntN(12)) * time.Second
 	if r.rng.IntN(4) == 0 {
 		runTime *= 4 // far longer than expected
@@ -99,10 +107,12 @@
 	case 0:
 		// At most two services are up, which leave 8 CPUs of their team's limit.
 		body["shape"], body["expected_s"], body["urgency"], body["pieces"], body["owner"] = "daemon", 0.0, "critical", 1+r.rng.IntN(2), "blue"
+		body["accelerators"] = 0.0
 		body["cpus"] = []float64{1, 2, 3}[r.rng.IntN(3)]
 		r.services = append(r.services, uid)
 	case 1:
 		body["shape"], body["pieces"], body["cpus"], body["owner"] = "group", 2+r.rng.IntN(2), 2.0, "red"
+		body["accelerators"] = min(body["accelerators"].(float64), 1) // within the team's limit as a whole
 	}
 	if body["shape"] != "daemon" {
 		r.finite = append(r.finite, uid)
--- a/partition/reservation_test.go
+++ b/partition/reservation_test.go
@@ -40,6 +40,18 @@
 	h.tick(s)
 }
 
+// fill fills the machine with running tasks of wk-1, and returns their names.
+func (h *reservationHarness) fill() (running []string) {
+	h.t.Helper()
+	for i := range 4 {
+		h.assign(1, "wk-1", i)
+		running = append(running, protocol.TaskName("wk-1", i))
+	}
+	h.heartbeat(2)
+	h.heartbeat(3, running...)
+	return running
+}
+
 // tick performs the periodic work, and commits what has changed.
 func (h *reservationHarness) tick(s float64) {
 	h.t.Helper()
@@ -99,12 +111,7 @@
 			jobs := newJobCache(t, jobSpec("wk-1", 4), waiting)
 			addJob(t, jobs, service)
 			h := newReservationHarness(t, jobs)
-			running := []string{"wk-1/0", "wk-1/1", "wk-1/2", "wk-1/3"}
-			for i := range running {
-				h.assign(1, "wk-1", i)
-			}
-			h.heartbeat(2)
-			h.heartbeat(3, running...)
+			h.fill()
 			if waiting.Shape != protocol.ShapeService {
 				h.assign(4, "wk-2", 0)
 			}
@@ -133,12 +140,7 @@
 // the leader once none of the tasks ahead of it has ended for twice the local wait, and not before.
 func TestTaskReturnsToTheLeaderWhenNothingAheadOfItEnds(t *testing.T) {
 	h := newReservationHarness(t, newJobCache(t, jobSpec("wk-1", 4), jobSpec("wk-2", 1)))
-	running := []string{"wk-1/0", "wk-1/1", "wk-1/2", "wk-1/3"}
-	for i := range running {
-		h.assign(1, "wk-1", i)
-	}
-	h.heartbeat(2)
-	h.heartbeat(3, running...)
+	running := h.fill()
 	h.assign(4, "wk-2", 0)
 	for s := 5.0; s <= 22; s++ {
 		h.heartbeat(s, running...)
@@ -157,12 +159,7 @@
 // other, however long that takes: otherwise smaller tasks would take what becomes free, for ever.
 func TestTaskKeepsItsReservationWhileTheMachineEmpties(t *testing.T) {
 	h := newReservationHarness(t, newJobCache(t, jobSpec("wk-1", 4), wideSpec("wk-2")))
-	running := []string{"wk-1/0", "wk-1/1", "wk-1/2", "wk-1/3"}
-	for i := range running {
-		h.assign(1, "wk-1", i)
-	}
-	h.heartbeat(2)
-	h.heartbeat(3, running...)
+	running := h.fill()
 	h.assign(4, "wk-2", 0)
 	started := ""
 	for s := 5.0; s <= 60 && started == ""; s++ {
--- a/policy/default.star
+++ b/policy/default.star
@@ -4,7 +4,7 @@
 
 buddies = 10            # size of a buddy set: machines at the head of a preferred list that take overflow
 threshold = 0           # a machine with more queued tasks than this is overloaded
-local_wait_s = 10.0     # time that overflow waits before it is forwarded beyond the buddy set
+local_wait_s = 10.0     # time that overflow waits before it is forwarded beyond the buddy set; a task that waits on a machine in vain for twice this returns to the leader
 ahead_s = 5.0           # tasks that are likely to start within this time are pre-committed to a full machine
 backlog = 3             # largest number of tasks that are pre-committed to a machine
 image_patience = 0.5    # a job leaves free capacity on machines without its image to other work for the image's fetch time multiplied by this
