End the request to drop a withdrawn task where the policy allows no preemption

With preempt_s = 0 the preemptor returned before it forgets the tasks that their owners have dropped, so a withdrawn task was to be stopped again wherever it was assigned next, for ever.

--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -108,6 +108,7 @@
 // run preempts tasks for the jobs that have waited long enough, in the order of service.
 func (p *preemptor) run(waiting []*WaitingJob, now time.Time) {
 	if p.cfg.PreemptAfter <= 0 {
+		p.dropStopped() // tasks may have been withdrawn
 		return
 	}
 	cycle := p.newCycle(now)
--- a/scheduler/withdrawal_test.go
+++ b/scheduler/withdrawal_test.go
@@ -56,3 +56,38 @@
 		})
 	}
 }
+
+// Guards against a task that is withdrawn again and again: the request to drop it ends once its owner has dropped
+// it, also while the policy allows no preemption, and it then runs where it has a place.
+func TestWithdrawnTaskIsAssignedOnceDropped(t *testing.T) {
+	for _, preemptAfter := range []time.Duration{0, time.Minute} {
+		cfg := testConfig
+		cfg.PreemptAfter = preemptAfter
+		spec := protocol.JobSpec{UID: "wk-1", Team: "blue", CPUs: 2, Tasks: 1, ExpectedS: 10, SameZone: true}
+		sched := New(cfg, teams(), 2, capacityOf, jobCache(spec, protocol.JobSpec{UID: "wk-2", Team: "blue", CPUs: 4, Tasks: 1, ExpectedS: 100}))
+		running := partition.HeldTasks{Job: "wk-2", Team: "blue", Resources: job.Resources{CPUs: 4}, Tasks: tasks(0), Phase: partition.PhaseRunning}
+		queued := partition.HeldTasks{Job: "wk-1", Team: "blue", Resources: job.Resources{CPUs: 2}, Tasks: tasks(0), Phase: partition.PhaseQueued, PhaseS: 20}
+		full := machine("a")
+		full.Free.CPUs, full.Held = -2, []partition.HeldTasks{running, queued}
+		sched.ApplyUpdate(0, firstUpdate(full), t0)
+		sched.ApplyUpdate(1, firstUpdate(machine("b")), t0)
+		sched.RunCycle(t0)
+		if len(sched.Preemptions(0)) != 1 {
+			t.Fatal("the task is not withdrawn")
+		}
+		full.Free.CPUs, full.Held = 0, []partition.HeldTasks{running}
+		sched.ApplyUpdate(0, partition.Update{Sequence: 2, BaseVersion: 1, Version: 2, Machines: []partition.MachineState{full}}, t0)
+		sched.RunCycle(t0.Add(time.Second))
+		if got := assignedTasks(sched, 1); len(got) != 1 {
+			t.Fatalf("assigned to the machine with a place: %v, want the task", got)
+		}
+		holder := machine("b")
+		holder.Free.CPUs, holder.Held = 2, []partition.HeldTasks{queued}
+		holder.Held[0].Phase = partition.PhaseStarting
+		sched.ApplyUpdate(1, partition.Update{Sequence: 2, BaseVersion: 1, Version: 2, AckedAssignment: 1, Machines: []partition.MachineState{holder}}, t0)
+		sched.RunCycle(t0.Add(2 * time.Second))
+		if got := sched.Preemptions(1); len(got) != 0 {
+			t.Errorf("PreemptAfter %v: %v is to be stopped where it has its place", preemptAfter, got)
+		}
+	}
+}
